--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,735 @@
+package control
+
+// A host makes one Router for each front end with New, then calls List, Event, Ended, Held, Probed,
+// Told, Started, HungUp and Woken as things come in, each with the clock. Answers go out through
+// Host (types.go) before the call returns. Every call notes what it heard and then goes through two
+// ordered lists of rules, fleetRules and eventRules, until none fires. The mechanism is that of
+// docs/design.md; a comment at each rule or figure says what it guards against.
+
+const (
+	overLanes   = 2.0  // own events in flight over lanes: past it a copy is overloaded
+	overMedian  = 2.0  // recent latency over the function's median: past it a copy is slow
+	slowFor     = 1.0  // this long slow
+	slowCopies  = 2    // on this many functions: the worker is set aside
+	asideFor    = 2.0  // for so long; troubles of other kinds double it up to asideMost
+	asideMost   = 8.0  // against asking a dead worker too often, yet finding it soon when it is back
+	recentPart  = 0.2  // weight of the newest latency, low against single heavy events
+	medianStep  = 1.05 // step of the running median, against outliers that a mean would follow
+	failPart    = 0.25 // weight of the newest outcome in a worker's share of failures
+	failMost    = 0.4  // share of failures past which a worker answers fast but wrong
+	limitTarget = 0.6  // launch time-out as part of the target time, so that a second try may be in time
+	limitMedian = 5.0  // but not under this multiple of the median, against cutting off heavy events
+	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
+	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
+	tick        = 0.25 // pause between looks at the clock
+	rateSpan    = 5.0  // span over which carried rates are averaged
+	noRoomFor   = 1.0  // a worker that had no room is asked to load again after this
+	forgetAfter = 60.0 // functions without events are let go after this
+)
+
+type event struct {
+	Event
+	kind     *EventType
+	fn       *function
+	due      float64
+	mark     uint64
+	launches int
+	wk       int // worker of the newest launch, -1 before
+	sentAt   float64
+	limit    float64
+	out      bool
+	streams  bool
+	done     bool
+	mayRun   bool // some launch may have run; runWk and runAt tell the first such
+	runZone  ZoneID
+	runCell  int
+	runAt    float64
+}
+
+// place is one function on one worker, as this front end believes it.
+type place struct {
+	wk        int
+	out       int
+	warm      bool
+	seen      float64
+	recent    float64 // recent latency
+	slowSince float64
+}
+
+type function struct {
+	id        FunctionID
+	lanes     int
+	load      float64 // usual time of a load: told, else learned
+	median    float64
+	heard     float64
+	places    []place
+	order     int // worker with a load of ours under way, -1 for none
+	orderedAt float64
+	followers []*event
+}
+
+// Router decides for one front end.
+type Router struct {
+	dep   *Deployment
+	host  Host
+	now   float64
+	x, c  uint32
+	evts  map[EventID]*event
+	marks map[uint64]*event
+	mark  uint64
+	todo  []*event
+	fns   map[FunctionID]*function
+	every []*function
+	index map[WorkerID]int
+
+	id       []WorkerID
+	zone     []ZoneID
+	kind     []KindID
+	cell     []int
+	phase    []Phase
+	size     []float64
+	born     []float64
+	out      []int       // own launches in flight
+	loads    []int       // own load orders in flight
+	heard    []float64   // events held there by its newest report, less our own; -1 unheard
+	aside    []float64   // set aside until
+	strikes  []int       // troubles in a row
+	fails    []float64   // share of late failures
+	noRoom   []float64   // no load fits before
+	pushed   [][]float64 // launches of the current fall window while cold
+	carried  []float64   // own events handled each second
+	handled  []float64   // own events handled since the last tick
+	taken    []float64   // events taken within the load window
+	ordered  []float64   // load orders within the load window
+	lastTick float64
+	asked    float64
+}
+
+// New makes the module of one front end.
+func New(dep *Deployment, seed uint64, host Host, now float64) *Router {
+	r := &Router{dep: dep, host: host, now: now, x: uint32(seed), c: uint32(seed>>32)%4294957664 + 1,
+		evts: map[EventID]*event{}, marks: map[uint64]*event{}, fns: map[FunctionID]*function{},
+		index: map[WorkerID]int{}, lastTick: now, asked: now}
+	return r
+}
+
+func (r *Router) chance(n int) int {
+	t := uint64(r.x)*4294957665 + uint64(r.c)
+	r.x, r.c = uint32(t), uint32(t>>32)
+	return int(uint64(r.x) * uint64(n) >> 32)
+}
+
+// List takes news of the workers; a first list, from before this front end's start, begins the clock.
+func (r *Router) List(now float64, full, first bool, list []Worker) {
+	r.now = now
+	if first {
+		r.host.Wake(tick, 0)
+		if r.dep.Asked {
+			r.host.Subscribe()
+		}
+	}
+	named := make([]bool, len(r.id))
+	for _, w := range list {
+		i, known := r.index[w.ID]
+		if !known {
+			i = r.admit(w.ID)
+			named = append(named, true)
+		}
+		named[i] = true
+		if known && w.Phase != Gone && w.Born != r.born[i] {
+			// A process that started anew holds none of the copies that were seen there.
+			r.forget(i)
+			r.strikes[i], r.fails[i], r.aside[i], r.noRoom[i] = 0, 0, 0, 0
+		}
+		r.zone[i], r.kind[i], r.cell[i], r.phase[i], r.size[i] = w.Zone, w.Kind, w.Cell, w.Phase, w.Size
+		if w.Phase != Gone {
+			r.born[i] = w.Born
+		}
+		if r.size[i] <= 0 {
+			r.size[i] = 1
+		}
+	}
+	for i := range named {
+		if full && !named[i] {
+			r.phase[i] = Gone
+		}
+	}
+	r.settle()
+}
+
+// ListFailed asks again, against going on with a list that nobody updates.
+func (r *Router) ListFailed(now float64) {
+	r.now = now
+	r.host.Wake(asideFor, 1)
+}
+
+func (r *Router) admit(id WorkerID) int {
+	i := len(r.id)
+	r.index[id] = i
+	r.id = append(r.id, id)
+	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, ""), append(r.cell, 0)
+	r.phase, r.size, r.born = append(r.phase, Serving), append(r.size, 1), append(r.born, 0)
+	r.out, r.loads, r.heard = append(r.out, 0), append(r.loads, 0), append(r.heard, -1)
+	r.aside, r.strikes, r.fails = append(r.aside, 0), append(r.strikes, 0), append(r.fails, 0)
+	r.noRoom, r.pushed = append(r.noRoom, 0), append(r.pushed, nil)
+	r.carried, r.handled = append(r.carried, 0), append(r.handled, 0)
+	return i
+}
+
+func (r *Router) forget(wk int) {
+	for _, f := range r.every {
+		if p := f.at(wk); p != nil {
+			p.warm, p.slowSince, p.recent = false, 0, 0
+		}
+	}
+}
+
+func (f *function) at(wk int) *place {
+	for i := range f.places {
+		if f.places[i].wk == wk {
+			return &f.places[i]
+		}
+	}
+	return nil
+}
+
+func (f *function) make(wk int) *place {
+	if p := f.at(wk); p != nil {
+		return p
+	}
+	f.places = append(f.places, place{wk: wk})
+	return &f.places[len(f.places)-1]
+}
+
+// Event takes one event.
+func (r *Router) Event(now float64, in Event) {
+	r.now = now
+	e := &event{Event: in, due: now + in.Left, wk: -1}
+	for i := range r.dep.EventTypes {
+		if r.dep.EventTypes[i].Name == in.Type {
+			e.kind = &r.dep.EventTypes[i]
+		}
+	}
+	if e.kind == nil { // a type that was never stated is handled with the most care
+		e.kind = &EventType{Name: in.Type, TargetTime: in.Left, MaxAge: in.Left, Repeat: AtMostOnce}
+	}
+	f := r.fns[in.Function]
+	if f == nil {
+		f = &function{id: in.Function, order: -1}
+		r.fns[in.Function] = f
+		r.every = append(r.every, f)
+	}
+	f.lanes, f.heard = max(in.Lanes, 1), now
+	if in.Load > 0 {
+		f.load = in.Load
+	}
+	r.mark++
+	e.fn, e.mark = f, r.mark+1
+	r.evts[e.ID], r.marks[e.mark] = e, e
+	r.taken = append(r.taken, now)
+	// Against an event that waits for a load past its time: a launch would end by itself.
+	r.host.Wake(max(in.Left-r.dep.RoundGap, 0), e.mark)
+	r.todo = append(r.todo, e)
+	r.settle()
+}
+
+// Started tells that an answer has begun to stream; it has no max age from then on.
+func (r *Router) Started(now float64, id EventID) {
+	r.now = now
+	if e := r.evts[id]; e != nil {
+		e.streams = true
+	}
+}
+
+// HungUp tells that the client has left.
+func (r *Router) HungUp(now float64, id EventID) {
+	r.now = now
+	if e := r.evts[id]; e != nil && !e.done {
+		r.finish(e)
+	}
+	r.settle()
+}
+
+// Woken is a timer: 0 is the module's own, 1 asks for the list again, others belong to events.
+func (r *Router) Woken(now float64, mark uint64) {
+	r.now = now
+	switch e := r.marks[mark]; {
+	case mark == 0:
+		r.host.Wake(tick, 0)
+		r.age()
+	case mark == 1:
+		r.asked = now
+		r.host.Subscribe()
+	case e != nil && !e.done && !e.out:
+		r.giveUp(e)
+	}
+	r.settle()
+}
+
+// Told is a message of another front end.
+func (r *Router) Told(now float64, from int, data []byte) { r.now = now }
+
+// Probed is the end of a probe.
+func (r *Router) Probed(now float64, id WorkerID, res Result, took float64, rep Report) {
+	r.now = now
+	if wk, ok := r.index[id]; ok {
+		r.reported(wk, rep)
+	}
+	r.settle()
+}
+
+func (r *Router) reported(wk int, rep Report) {
+	if rep.Known&(HasRunning|HasWaiting) != 0 {
+		r.heard[wk] = max(rep.Running+rep.Waiting-float64(r.out[wk]), 0)
+	}
+}
+
+// Ended is the end of one launch.
+func (r *Router) Ended(now float64, end Ending) {
+	r.now = now
+	e := r.evts[end.Event]
+	if e == nil || !e.out {
+		return
+	}
+	wk := e.wk
+	p := e.fn.make(wk)
+	e.out = false
+	r.out[wk]--
+	p.out--
+	r.reported(wk, end.Report)
+	switch end.Result {
+	case Handled:
+		r.handled[wk]++
+		r.strikes[wk] = 0
+		r.fails[wk] *= 1 - failPart
+		if p.warm, p.seen = true, now; end.Warmth <= FoundWarm {
+			e.fn.timed(p, end.Took, now)
+		}
+	case Missed:
+		p.warm = false
+	case Failed, Broken, TimedOut, Unreachable:
+		r.fails[wk] += failPart * (1 - r.fails[wk])
+		if end.Result != Failed || r.fails[wk] > failMost {
+			r.strike(wk)
+		}
+		if end.Result == Broken {
+			r.forget(wk)
+		}
+	case TurnedAway:
+		r.noRoom[wk] = now + noRoomFor
+	}
+	if r.mayHaveRun(end.Result) && !e.mayRun {
+		e.mayRun, e.runAt, e.runZone, e.runCell = true, e.sentAt, r.zone[wk], r.cell[wk]
+	}
+	switch {
+	case e.done:
+		delete(r.evts, e.ID)
+	case end.Settled:
+		r.finish(e)
+	default:
+		r.todo = append(r.todo, e)
+	}
+	r.settle()
+}
+
+func (r *Router) mayHaveRun(res Result) bool {
+	return res != TurnedAway && res != Unreachable && res != NeverSent && res != Missed
+}
+
+func (f *function) timed(p *place, took, now float64) {
+	switch {
+	case f.median == 0:
+		f.median = took
+	case took > f.median:
+		f.median *= medianStep
+	default:
+		f.median /= medianStep
+	}
+	if p.recent == 0 {
+		p.recent = min(took, f.median)
+	}
+	p.recent += recentPart * (took - p.recent)
+	switch slow := p.recent > overMedian*f.median; {
+	case !slow:
+		p.slowSince = 0
+	case p.slowSince == 0:
+		p.slowSince = now
+	}
+}
+
+// strike sets a worker aside that lost, refused or broke events. The second in a row is believed,
+// each further one doubles the time; one launch at a time then tries it until it has handled one.
+func (r *Router) strike(wk int) {
+	r.strikes[wk]++
+	if n := r.strikes[wk]; n >= 2 {
+		r.aside[wk] = r.now + min(asideFor*float64(int(1)<<min(n-2, 8)), asideMost)
+	}
+}
+
+// Held is the answer to an order.
+func (r *Router) Held(now float64, id WorkerID, fn FunctionID, res Result, copies int, took float64) {
+	r.now = now
+	wk, ok := r.index[id]
+	f := r.fns[fn]
+	if !ok || f == nil {
+		return
+	}
+	if r.loads[wk] > 0 {
+		r.loads[wk]--
+	}
+	switch {
+	case copies > 0:
+		p := f.make(wk)
+		p.warm, p.seen = true, now
+	case res == TurnedAway:
+		r.noRoom[wk] = now + noRoomFor
+	case res == Unreachable || res == Broken || res == TimedOut:
+		r.strike(wk)
+	}
+	if f.order == wk {
+		r.follow(f)
+	}
+	r.settle()
+}
+
+// follow lets the events that waited for an order be decided anew.
+func (r *Router) follow(f *function) {
+	f.order = -1
+	r.todo = append(r.todo, f.followers...)
+	f.followers = nil
+}
+
+func (r *Router) finish(e *event) {
+	e.done = true
+	delete(r.marks, e.mark)
+	if !e.out {
+		delete(r.evts, e.ID)
+	}
+}
+
+// giveUp answers at once: deferred where a repeat is proven harmless, else dead-lettered.
+func (r *Router) giveUp(e *event) {
+	harmless := !e.mayRun || e.kind.Repeat == Redeliverable ||
+		e.kind.Repeat == Keyed && e.kind.Reach == ReachAll && r.now < e.runAt+e.kind.Remembered
+	if harmless {
+		r.host.Defer(e.ID, r.dep.MaxPause/2)
+	} else {
+		r.host.DeadLetter(e.ID)
+	}
+	r.finish(e)
+}
+
+// age does what only the clock brings about.
+func (r *Router) age() {
+	span := max(r.now-r.lastTick, tick/2)
+	r.lastTick = r.now
+	for wk := range r.id {
+		r.carried[wk] += min(span/rateSpan, 1) * (r.handled[wk]/span - r.carried[wk])
+		r.handled[wk] = 0
+	}
+	kept := r.every[:0]
+	for _, f := range r.every {
+		if f.order < 0 && r.now-f.heard > forgetAfter && f.idle() {
+			delete(r.fns, f.id)
+		} else {
+			kept = append(kept, f)
+		}
+	}
+	r.every = kept
+	r.taken, r.ordered = r.within(r.taken, r.dep.LoadWindow), r.within(r.ordered, r.dep.LoadWindow)
+}
+
+func (f *function) idle() bool {
+	for i := range f.places {
+		if f.places[i].out > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) within(times []float64, span float64) []float64 {
+	for len(times) > 0 && times[0] <= r.now-span {
+		times = times[1:]
+	}
+	return times
+}
+
+// weight is what a worker can do beside others: its size, less while it is cold.
+func (r *Router) weight(wk int) float64 { return r.size[wk] * r.warmth(wk, r.now) }
+
+func (r *Router) warmth(wk int, at float64) float64 {
+	if r.born[wk] <= 0 || at-r.born[wk] >= r.dep.WarmWithin {
+		return 1
+	}
+	return r.dep.ColdShare + (1-r.dep.ColdShare)*max(at-r.born[wk], 0)/r.dep.WarmWithin
+}
+
+// coldRoom tells whether one more launch keeps a cold worker's budget. Its capacity is not told; what
+// warm workers handle for this front end is a part of it, and the parts of all front ends add up to
+// no more than the whole. So no front end needs to know of the others.
+func (r *Router) coldRoom(wk int) bool {
+	if r.warmth(wk, r.now) >= 1 {
+		return true
+	}
+	sum, n := 0.0, 0.0
+	for k := range r.id {
+		if r.phase[k] == Serving && r.kind[k] == r.kind[wk] && r.warmth(k, r.now) >= 1 {
+			sum, n = sum+r.carried[k], n+1
+		}
+	}
+	r.pushed[wk] = r.within(r.pushed[wk], r.dep.FallWindow)
+	start := max(r.now-r.dep.FallWindow, r.born[wk])
+	budget := coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * sum / max(n, 1)
+	return float64(len(r.pushed[wk])+1) <= max(budget, 1)
+}
+
+// load is how busy a worker is believed to be; workers unheard of count as average.
+func (r *Router) load(wk int) float64 {
+	heard := r.heard[wk]
+	if heard < 0 {
+		sum, n := 0.0, 0.0
+		for k := range r.id {
+			if r.heard[k] >= 0 && r.phase[k] == Serving {
+				sum, n = sum+r.heard[k], n+1
+			}
+		}
+		heard = sum / max(n, 1)
+	}
+	return (float64(r.out[wk]+1) + heard) / r.weight(wk)
+}
+
+// may tells whether the rules let the event go to the worker at all.
+func (r *Router) may(e *event, wk int) bool {
+	if r.phase[wk] != Serving || !r.coldRoom(wk) {
+		return false
+	}
+	if !e.mayRun || e.kind.Repeat == Redeliverable {
+		return true
+	}
+	within := r.now < e.runAt+e.kind.Remembered
+	switch e.kind.Reach {
+	case ReachZone:
+		within = within && r.zone[wk] == e.runZone
+	case ReachCell:
+		within = within && r.zone[wk] == e.runZone && r.cell[wk] == e.runCell
+	}
+	return within && e.kind.Repeat == Keyed
+}
+
+// fit tells whether a worker is in good health; one with strikes gets one launch at a time.
+func (r *Router) fit(wk int) bool {
+	return r.aside[wk] <= r.now && (r.strikes[wk] < 2 || r.out[wk] == 0)
+}
+
+func (r *Router) warm(p *place) bool { return p.warm && (p.out > 0 || r.now < p.seen+r.dep.KeepWarm) }
+
+// least picks the least-loaded worker that passes, ties at random; the worker that just lost this
+// event comes last, against trying the same broken one again.
+func (r *Router) least(e *event, pass func(wk int) bool) int {
+	best, low, ties := -1, 0.0, 0
+	for wk := range r.id {
+		if !r.may(e, wk) || !pass(wk) {
+			continue
+		}
+		l := r.load(wk)
+		if wk == e.wk {
+			l += 1e6
+		}
+		if ties++; best < 0 || l < low {
+			best, low, ties = wk, l, 1
+		} else if l > low {
+			ties--
+		} else if r.chance(ties) == 0 {
+			best = wk
+		}
+	}
+	return best
+}
+
+func (r *Router) bestWarm(e *event, strict bool) int {
+	return r.least(e, func(wk int) bool {
+		p := e.fn.at(wk)
+		if p == nil || !r.warm(p) || !r.fit(wk) {
+			return false
+		}
+		over := float64(p.out) >= overLanes*float64(e.fn.lanes) || p.recent > overMedian*e.fn.median
+		return !strict || !over
+	})
+}
+
+func (r *Router) launch(e *event, wk int, loading bool) {
+	e.wk, e.sentAt, e.out = wk, r.now, true
+	e.launches++
+	r.out[wk]++
+	e.fn.make(wk).out++
+	if r.warmth(wk, r.now) < 1 {
+		r.pushed[wk] = append(r.pushed[wk], r.now)
+	}
+	left := e.due - r.now
+	// A silent worker must not hold an event to its end while another could still handle it.
+	limit := max(limitTarget*e.kind.TargetTime, limitMedian*e.fn.median)
+	if loading {
+		limit += limitLoads * e.fn.load
+	}
+	if e.kind.Repeat != Redeliverable || e.launches >= r.dep.MaxLaunches || e.kind.Streaming {
+		limit = left
+	}
+	r.host.Launch(e.ID, r.id[wk], min(limit, left))
+}
+
+// mayOrder keeps the ration of load orders, where one is stated.
+func (r *Router) mayOrder() bool {
+	if !r.dep.MayOrder || r.dep.LoadWindow <= 0 {
+		return r.dep.MayOrder
+	}
+	r.taken, r.ordered = r.within(r.taken, r.dep.LoadWindow), r.within(r.ordered, r.dep.LoadWindow)
+	return float64(len(r.ordered)+1) <= r.dep.LoadFree+r.dep.LoadShare*float64(len(r.taken))
+}
+
+func (r *Router) loadSite(e *event) int {
+	return r.least(e, func(wk int) bool {
+		p := e.fn.at(wk)
+		return r.fit(wk) && r.noRoom[wk] <= r.now && (p == nil || !r.warm(p))
+	})
+}
+
+func (r *Router) order(f *function, wk int) {
+	f.order, f.orderedAt = wk, r.now
+	r.loads[wk]++
+	r.ordered = append(r.ordered, r.now)
+	r.host.Hold(r.id[wk], f.id, 1)
+}
+
+// settle goes through the rules until none fires.
+func (r *Router) settle() {
+	for fired := true; fired; {
+		fired = false
+		for _, rule := range fleetRules {
+			fired = rule(r) || fired
+		}
+		if len(r.todo) == 0 {
+			continue
+		}
+		e := r.todo[0]
+		r.todo = r.todo[1:]
+		fired = true
+		for i := 0; !e.done && !eventRules[i](r, e); i++ {
+		}
+	}
+}
+
+// fleetRules concern workers and orders.
+var fleetRules = []func(*Router) bool{
+	// The design's set-aside: a worker that is slow on several functions is left alone for a while.
+	func(r *Router) (fired bool) {
+		for wk := range r.id {
+			n := 0
+			for _, f := range r.every {
+				if p := f.at(wk); p != nil && p.slowSince > 0 && r.now-p.slowSince >= slowFor {
+					n++
+				}
+			}
+			if n >= slowCopies && r.aside[wk] <= r.now {
+				r.aside[wk], fired = r.now+asideFor, true
+				for _, f := range r.every {
+					if p := f.at(wk); p != nil {
+						p.slowSince, p.recent = 0, 0
+					}
+				}
+			}
+		}
+		return fired
+	},
+	// A load on a worker that drained, left or keeps silent is not waited for.
+	func(r *Router) (fired bool) {
+		for _, f := range r.every {
+			if f.order < 0 {
+				continue
+			}
+			lost := r.now-f.orderedAt > limitLoads*max(f.load, 1)
+			if lost {
+				r.strike(f.order)
+			}
+			if lost || r.phase[f.order] != Serving {
+				r.follow(f)
+				fired = true
+			}
+		}
+		return fired
+	},
+}
+
+// eventRules decide one event; the first that fires ends the list, and the last always fires.
+var eventRules = []func(*Router, *event) bool{
+	// No launch can help: its time is up, its tries are used, or it may have run and must not again.
+	func(r *Router, e *event) bool {
+		spent := r.now >= e.due-r.dep.RoundGap || e.launches >= r.dep.MaxLaunches
+		spent = spent || e.mayRun && e.kind.Repeat == AtMostOnce
+		if spent {
+			r.giveUp(e)
+		}
+		return spent
+	},
+	// The ordinary path: the least-loaded warm copy that is not overloaded.
+	func(r *Router, e *event) bool {
+		wk := r.bestWarm(e, true)
+		if wk >= 0 {
+			r.launch(e, wk, false)
+		}
+		return wk >= 0
+	},
+	// None passes: one load at a time for each function, on the least-utilized worker.
+	func(r *Router, e *event) bool {
+		if e.fn.order >= 0 || !r.mayOrder() {
+			return false
+		}
+		if wk := r.loadSite(e); wk >= 0 {
+			r.order(e.fn, wk)
+			if r.bestWarm(e, false) < 0 {
+				e.fn.followers = append(e.fn.followers, e)
+				return true
+			}
+		}
+		return false
+	},
+	// Meanwhile the least-loaded warm copy takes it, overloaded or not.
+	func(r *Router, e *event) bool {
+		wk := r.bestWarm(e, false)
+		if wk >= 0 {
+			r.launch(e, wk, false)
+		}
+		return wk >= 0
+	},
+	// Else the loading worker, once the order has surely reached it; else it waits for the answer.
+	func(r *Router, e *event) bool {
+		wk := e.fn.order
+		if wk < 0 {
+			return false
+		}
+		if r.now-e.fn.orderedAt > 4*r.dep.RoundGap && r.may(e, wk) && r.fit(wk) && wk != e.wk {
+			r.launch(e, wk, true)
+		} else {
+			e.fn.followers = append(e.fn.followers, e)
+		}
+		return true
+	},
+	// Without orders a worker loads what it is sent, where the deployment's workers do that.
+	func(r *Router, e *event) bool {
+		wk := -1
+		if !r.dep.MissAnswers {
+			if wk = r.loadSite(e); wk < 0 {
+				wk = r.least(e, r.fit)
+			}
+		}
+		if wk >= 0 {
+			r.launch(e, wk, true)
+		}
+		return wk >= 0
+	},
+	// Nobody can take it now.
+	func(r *Router, e *event) bool {
+		r.giveUp(e)
+		return true
+	},
+}
