Tell silence by added waits, rank load sites, and let old latency figures lapse

Cause: overdue work goes on at the workers, so each time-out doubled the work and the jam fed itself. Silence is now told by waits added up in medians with no answer since. Guards also against dead links; could harm where a worker pauses as a whole and then recovers.

--- a/control/control.go
+++ b/control/control.go
@@ -1,5 +1,11 @@
 package control
 
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
 // A host makes one Router for each front end with New, then calls List, Event, Ended, Held, Probed,
 // Told, Started, HungUp and Woken as things come in, each with the clock. Answers go out through
 // Host (types.go) before the call returns. Every call notes what it heard and then goes through two
@@ -17,9 +23,11 @@
 	medianStep  = 1.05 // step of the running median, against outliers that a mean would follow
 	failPart    = 0.25 // weight of the newest outcome in a worker's share of failures
 	failMost    = 0.4  // share of failures past which a worker answers fast but wrong
-	limitTarget = 0.6  // launch time-out as part of the target time, so that a second try may be in time
-	limitMedian = 5.0  // but not under this multiple of the median, against cutting off heavy events
+	muteFor     = 12.0 // medians waited in all, with no answer since, before a worker counts as silent
+	muteLeast   = 0.3  // but not sooner, against a short pause
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
+	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
+	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
 	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
 	tick        = 0.25 // pause between looks at the clock
 	rateSpan    = 5.0  // span over which carried rates are averaged
@@ -39,6 +47,7 @@
 	limit    float64
 	out      bool
 	streams  bool
+	loading  bool // sent to wait for a load
 	done     bool
 	mayRun   bool // some launch may have run; runWk and runAt tell the first such
 	runZone  ZoneID
@@ -52,12 +61,15 @@
 	out       int
 	warm      bool
 	seen      float64
-	recent    float64 // recent latency
+	recent    float64 // recent latency, last fed at timedAt
+	timedAt   float64
 	slowSince float64
 }
 
 type function struct {
 	id        FunctionID
+	hash      uint64
+	out       int // own launches in flight
 	lanes     int
 	load      float64 // usual time of a load: told, else learned
 	median    float64
@@ -83,6 +95,7 @@
 	index map[WorkerID]int
 
 	id       []WorkerID
+	hash     []uint64
 	zone     []ZoneID
 	kind     []KindID
 	cell     []int
@@ -90,6 +103,8 @@
 	size     []float64
 	born     []float64
 	out      []int       // own launches in flight
+	flying   [][]*event  // and the events they are for
+	answered []float64   // newest answer
 	loads    []int       // own load orders in flight
 	heard    []float64   // events held there by its newest report, less our own; -1 unheard
 	aside    []float64   // set aside until
@@ -103,6 +118,7 @@
 	ordered  []float64   // load orders within the load window
 	lastTick float64
 	asked    float64
+	scratch  []int
 }
 
 // New makes the module of one front end.
@@ -166,10 +182,11 @@
 func (r *Router) admit(id WorkerID) int {
 	i := len(r.id)
 	r.index[id] = i
-	r.id = append(r.id, id)
+	r.id, r.hash = append(r.id, id), append(r.hash, hash(string(id)))
 	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, ""), append(r.cell, 0)
 	r.phase, r.size, r.born = append(r.phase, Serving), append(r.size, 1), append(r.born, 0)
 	r.out, r.loads, r.heard = append(r.out, 0), append(r.loads, 0), append(r.heard, -1)
+	r.flying, r.answered = append(r.flying, nil), append(r.answered, 0)
 	r.aside, r.strikes, r.fails = append(r.aside, 0), append(r.strikes, 0), append(r.fails, 0)
 	r.noRoom, r.pushed = append(r.noRoom, 0), append(r.pushed, nil)
 	r.carried, r.handled = append(r.carried, 0), append(r.handled, 0)
@@ -215,7 +232,7 @@
 	}
 	f := r.fns[in.Function]
 	if f == nil {
-		f = &function{id: in.Function, order: -1}
+		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1}
 		r.fns[in.Function] = f
 		r.every = append(r.every, f)
 	}
@@ -294,7 +311,12 @@
 	wk := e.wk
 	p := e.fn.make(wk)
 	e.out = false
+	r.flying[wk] = slices.DeleteFunc(r.flying[wk], func(o *event) bool { return o == e })
+	if end.Result != TimedOut && end.Result != Cancelled {
+		r.answered[wk] = now
+	}
 	r.out[wk]--
+	e.fn.out--
 	p.out--
 	r.reported(wk, end.Report)
 	switch end.Result {
@@ -307,7 +329,7 @@
 		}
 	case Missed:
 		p.warm = false
-	case Failed, Broken, TimedOut, Unreachable:
+	case Failed, Broken, Unreachable:
 		r.fails[wk] += failPart * (1 - r.fails[wk])
 		if end.Result != Failed || r.fails[wk] > failMost {
 			r.strike(wk)
@@ -349,6 +371,7 @@
 		p.recent = min(took, f.median)
 	}
 	p.recent += recentPart * (took - p.recent)
+	p.timedAt = now
 	switch slow := p.recent > overMedian*f.median; {
 	case !slow:
 		p.slowSince = 0
@@ -429,7 +452,7 @@
 	}
 	kept := r.every[:0]
 	for _, f := range r.every {
-		if f.order < 0 && r.now-f.heard > forgetAfter && f.idle() {
+		if f.order < 0 && r.now-f.heard > forgetAfter && f.out == 0 {
 			delete(r.fns, f.id)
 		} else {
 			kept = append(kept, f)
@@ -439,15 +462,6 @@
 	r.taken, r.ordered = r.within(r.taken, r.dep.LoadWindow), r.within(r.ordered, r.dep.LoadWindow)
 }
 
-func (f *function) idle() bool {
-	for i := range f.places {
-		if f.places[i].out > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func (r *Router) within(times []float64, span float64) []float64 {
 	for len(times) > 0 && times[0] <= r.now-span {
 		times = times[1:]
@@ -524,58 +538,105 @@
 
 func (r *Router) warm(p *place) bool { return p.warm && (p.out > 0 || r.now < p.seen+r.dep.KeepWarm) }
 
-// least picks the least-loaded worker that passes, ties at random; the worker that just lost this
-// event comes last, against trying the same broken one again.
-func (r *Router) least(e *event, pass func(wk int) bool) int {
-	best, low, ties := -1, 0.0, 0
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return h.Sum64()
+}
+
+// rank orders the workers for a function, alike at every front end, so that front ends which never
+// speak to each other keep its copies in the same few places. Highest comes first.
+func (r *Router) rank(f *function, wk int) uint64 {
+	x := f.hash ^ r.hash[wk]
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// ranked lists the workers that pass, by rank, the one that just lost this event last.
+func (r *Router) ranked(e *event, pass func(wk int) bool) []int {
+	list := r.scratch[:0]
 	for wk := range r.id {
-		if !r.may(e, wk) || !pass(wk) {
-			continue
+		if r.may(e, wk) && r.fit(wk) && pass(wk) {
+			list = append(list, wk)
 		}
-		l := r.load(wk)
-		if wk == e.wk {
-			l += 1e6
+	}
+	slices.SortFunc(list, func(a, b int) int {
+		if a == e.wk || b == e.wk {
+			return cmp.Compare(btoi(a == e.wk), btoi(b == e.wk))
 		}
-		if ties++; best < 0 || l < low {
+		return cmp.Compare(r.rank(e.fn, b), r.rank(e.fn, a))
+	})
+	r.scratch = list
+	return list
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// least picks the least-loaded of a list, ties at random.
+func (r *Router) least(list []int) int {
+	best, low, ties := -1, 0.0, 0
+	for _, wk := range list {
+		switch l := r.load(wk); {
+		case best < 0 || l < low:
 			best, low, ties = wk, l, 1
-		} else if l > low {
-			ties--
-		} else if r.chance(ties) == 0 {
-			best = wk
+		case l == low:
+			if ties++; r.chance(ties) == 0 {
+				best = wk
+			}
 		}
 	}
 	return best
 }
 
+// busy tells whether a worker carries well more than the mean.
+func (r *Router) busy(wk int) bool {
+	sum, n := 0.0, 0.0
+	for k := range r.id {
+		if r.phase[k] == Serving {
+			sum, n = sum+r.load(k), n+1
+		}
+	}
+	return r.load(wk) > busyMean*sum/max(n, 1)+busyMore/r.weight(wk)
+}
+
+// slow is the design's latency test. A copy that is passed over gets no new figures, so an old one
+// must not keep it out for good, nor one heavy event an idle copy.
+func (r *Router) slow(f *function, p *place) bool {
+	return p.out > 0 && r.now-p.timedAt < slowFor && p.recent > overMedian*f.median
+}
+
+// bestWarm is the least-loaded of the warm copies in use: the first by rank, as many as the events in
+// flight fill. Spread over all copies, events would keep each alive and crowd the memory with them.
 func (r *Router) bestWarm(e *event, strict bool) int {
-	return r.least(e, func(wk int) bool {
+	list := r.ranked(e, func(wk int) bool {
 		p := e.fn.at(wk)
-		if p == nil || !r.warm(p) || !r.fit(wk) {
+		if p == nil || !r.warm(p) {
 			return false
 		}
-		over := float64(p.out) >= overLanes*float64(e.fn.lanes) || p.recent > overMedian*e.fn.median
+		over := float64(p.out) >= overLanes*float64(e.fn.lanes) || r.slow(e.fn, p) || r.busy(wk)
 		return !strict || !over
 	})
+	return r.least(list[:min(len(list), 1+e.fn.out/e.fn.lanes)])
 }
 
 func (r *Router) launch(e *event, wk int, loading bool) {
 	e.wk, e.sentAt, e.out = wk, r.now, true
 	e.launches++
 	r.out[wk]++
+	e.fn.out++
 	e.fn.make(wk).out++
 	if r.warmth(wk, r.now) < 1 {
 		r.pushed[wk] = append(r.pushed[wk], r.now)
 	}
-	left := e.due - r.now
-	// A silent worker must not hold an event to its end while another could still handle it.
-	limit := max(limitTarget*e.kind.TargetTime, limitMedian*e.fn.median)
-	if loading {
-		limit += limitLoads * e.fn.load
-	}
-	if e.kind.Repeat != Redeliverable || e.launches >= r.dep.MaxLaunches || e.kind.Streaming {
-		limit = left
-	}
-	r.host.Launch(e.ID, r.id[wk], min(limit, left))
+	e.loading = loading
+	r.flying[wk] = append(r.flying[wk], e)
+	r.host.Launch(e.ID, r.id[wk], e.due-r.now)
 }
 
 // mayOrder keeps the ration of load orders, where one is stated.
@@ -587,11 +648,18 @@
 	return float64(len(r.ordered)+1) <= r.dep.LoadFree+r.dep.LoadShare*float64(len(r.taken))
 }
 
+// loadSite is the first worker by rank that is not busy, else the least-loaded one.
 func (r *Router) loadSite(e *event) int {
-	return r.least(e, func(wk int) bool {
+	list := r.ranked(e, func(wk int) bool {
 		p := e.fn.at(wk)
-		return r.fit(wk) && r.noRoom[wk] <= r.now && (p == nil || !r.warm(p))
+		return r.noRoom[wk] <= r.now && (p == nil || !r.warm(p))
 	})
+	for _, wk := range list {
+		if !r.busy(wk) && wk != e.wk {
+			return wk
+		}
+	}
+	return r.least(list)
 }
 
 func (r *Router) order(f *function, wk int) {
@@ -641,6 +709,31 @@
 		}
 		return fired
 	},
+	// A silent worker must not hold events to their end while another could still handle them. Waits
+	// are added up in medians, so that one heavy event on a live worker is not taken for silence.
+	func(r *Router) (fired bool) {
+		for wk := range r.id {
+			waits, longest := 0.0, 0.0
+			for _, e := range r.flying[wk] {
+				if e.sentAt > r.answered[wk] && !e.loading && !e.streams {
+					waits += (r.now - e.sentAt) / max(e.fn.median, muteLeast/muteFor)
+					longest = max(longest, r.now-e.sentAt)
+				}
+			}
+			if waits < muteFor || longest < muteLeast || r.aside[wk] > r.now {
+				continue
+			}
+			r.strikes[wk] = max(r.strikes[wk], 1)
+			r.strike(wk)
+			fired = true
+			for _, e := range r.flying[wk] {
+				if r.dep.MayCancel && !e.streams && e.kind.Repeat == Redeliverable && e.launches < r.dep.MaxLaunches {
+					r.host.Cancel(e.ID, e.launches-1)
+				}
+			}
+		}
+		return fired
+	},
 	// A load on a worker that drained, left or keeps silent is not waited for.
 	func(r *Router) (fired bool) {
 		for _, f := range r.every {
@@ -719,7 +812,7 @@
 		wk := -1
 		if !r.dep.MissAnswers {
 			if wk = r.loadSite(e); wk < 0 {
-				wk = r.least(e, r.fit)
+				wk = r.least(r.ranked(e, func(int) bool { return true }))
 			}
 		}
 		if wk >= 0 {
