--- a/control/control.go
+++ b/control/control.go
@@ -26,12 +26,20 @@
 	muteFor     = 12.0 // medians waited in all, with no answer since, before a worker counts as silent
 	muteLeast   = 0.3  // but not sooner, against a short pause
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
+	roomStart   = 6.0  // own events that a worker may hold at first
+	roomLeast   = 1.0  // and at the least, so that its recovery is seen
+	roomMost    = 64.0 // and at the most
+	roomUp      = 0.2  // added by an answer well within the target time while the room is used
+	roomCut     = 0.75 // kept after an answer past roomLate of the target time
+	roomEarly   = 0.5
+	roomLate    = 0.8
+	patience    = 0.35 // part of the target time that an event may wait here for room
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
 	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
 	tick        = 0.25 // pause between looks at the clock
 	rateSpan    = 5.0  // span over which carried rates are averaged
-	noRoomFor   = 1.0  // a worker that had no room is asked to load again after this
+	noRoomFor   = 0.5  // a worker that had no room is asked to load again after this
 	forgetAfter = 60.0 // functions without events are let go after this
 )
 
@@ -39,17 +47,17 @@
 	Event
 	kind     *EventType
 	fn       *function
-	due      float64
+	at, due  float64
 	mark     uint64
 	launches int
 	wk       int // worker of the newest launch, -1 before
 	sentAt   float64
-	limit    float64
 	out      bool
 	streams  bool
 	loading  bool // sent to wait for a load
+	parked   bool // waits here for room
 	done     bool
-	mayRun   bool // some launch may have run; runWk and runAt tell the first such
+	mayRun   bool // some launch may have run; the run figures tell where and when the first such went
 	runZone  ZoneID
 	runCell  int
 	runAt    float64
@@ -71,7 +79,7 @@
 	hash      uint64
 	out       int // own launches in flight
 	lanes     int
-	load      float64 // usual time of a load: told, else learned
+	load      float64 // usual time of a load, where it is told
 	median    float64
 	heard     float64
 	places    []place
@@ -82,17 +90,18 @@
 
 // Router decides for one front end.
 type Router struct {
-	dep   *Deployment
-	host  Host
-	now   float64
-	x, c  uint32
-	evts  map[EventID]*event
-	marks map[uint64]*event
-	mark  uint64
-	todo  []*event
-	fns   map[FunctionID]*function
-	every []*function
-	index map[WorkerID]int
+	dep    *Deployment
+	host   Host
+	now    float64
+	x, c   uint32
+	mark   uint64
+	evts   map[EventID]*event
+	marks  map[uint64]*event
+	todo   []*event // to be decided
+	parked []*event
+	fns    map[FunctionID]*function
+	every  []*function
+	index  map[WorkerID]int
 
 	id       []WorkerID
 	hash     []uint64
@@ -102,10 +111,10 @@
 	phase    []Phase
 	size     []float64
 	born     []float64
-	out      []int       // own launches in flight
-	flying   [][]*event  // and the events they are for
+	flying   [][]*event  // own events in flight
 	answered []float64   // newest answer
-	loads    []int       // own load orders in flight
+	room     []float64   // own events that it may hold
+	cutAt    []float64   // when that was last cut
 	heard    []float64   // events held there by its newest report, less our own; -1 unheard
 	aside    []float64   // set aside until
 	strikes  []int       // troubles in a row
@@ -117,16 +126,14 @@
 	taken    []float64   // events taken within the load window
 	ordered  []float64   // load orders within the load window
 	lastTick float64
-	asked    float64
 	scratch  []int
 }
 
 // New makes the module of one front end.
 func New(dep *Deployment, seed uint64, host Host, now float64) *Router {
-	r := &Router{dep: dep, host: host, now: now, x: uint32(seed), c: uint32(seed>>32)%4294957664 + 1,
+	return &Router{dep: dep, host: host, now: now, x: uint32(seed), c: uint32(seed>>32)%4294957664 + 1, mark: 1,
 		evts: map[EventID]*event{}, marks: map[uint64]*event{}, fns: map[FunctionID]*function{},
-		index: map[WorkerID]int{}, lastTick: now, asked: now}
-	return r
+		index: map[WorkerID]int{}, lastTick: now}
 }
 
 func (r *Router) chance(n int) int {
@@ -152,15 +159,15 @@
 			named = append(named, true)
 		}
 		named[i] = true
-		if known && w.Phase != Gone && w.Born != r.born[i] {
+		if r.phase[i] = w.Phase; w.Phase == Gone {
+			continue
+		}
+		if known && w.Born != r.born[i] {
 			// A process that started anew holds none of the copies that were seen there.
 			r.forget(i)
-			r.strikes[i], r.fails[i], r.aside[i], r.noRoom[i] = 0, 0, 0, 0
-		}
-		r.zone[i], r.kind[i], r.cell[i], r.phase[i], r.size[i] = w.Zone, w.Kind, w.Cell, w.Phase, w.Size
-		if w.Phase != Gone {
-			r.born[i] = w.Born
+			r.strikes[i], r.fails[i], r.aside[i], r.noRoom[i], r.room[i] = 0, 0, 0, 0, roomStart
 		}
+		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, w.Kind, w.Cell, w.Size, w.Born
 		if r.size[i] <= 0 {
 			r.size[i] = 1
 		}
@@ -173,24 +180,32 @@
 	r.settle()
 }
 
-// ListFailed asks again, against going on with a list that nobody updates.
+// ListFailed asks again soon, against going on with a list that nobody updates.
 func (r *Router) ListFailed(now float64) {
 	r.now = now
 	r.host.Wake(asideFor, 1)
 }
 
+func add[T any](list *[]T, v T) { *list = append(*list, v) }
+
 func (r *Router) admit(id WorkerID) int {
-	i := len(r.id)
-	r.index[id] = i
-	r.id, r.hash = append(r.id, id), append(r.hash, hash(string(id)))
-	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, ""), append(r.cell, 0)
-	r.phase, r.size, r.born = append(r.phase, Serving), append(r.size, 1), append(r.born, 0)
-	r.out, r.loads, r.heard = append(r.out, 0), append(r.loads, 0), append(r.heard, -1)
-	r.flying, r.answered = append(r.flying, nil), append(r.answered, 0)
-	r.aside, r.strikes, r.fails = append(r.aside, 0), append(r.strikes, 0), append(r.fails, 0)
-	r.noRoom, r.pushed = append(r.noRoom, 0), append(r.pushed, nil)
-	r.carried, r.handled = append(r.carried, 0), append(r.handled, 0)
-	return i
+	r.index[id] = len(r.id)
+	add(&r.id, id)
+	add(&r.hash, hash(string(id)))
+	add(&r.zone, "")
+	add(&r.kind, "")
+	add(&r.cell, 0)
+	add(&r.phase, Serving)
+	add(&r.flying, nil)
+	add(&r.strikes, 0)
+	add(&r.pushed, nil)
+	add(&r.room, roomStart)
+	add(&r.heard, -1)
+	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.aside, &r.fails, &r.noRoom,
+		&r.carried, &r.handled} {
+		add(figures, 0)
+	}
+	return r.index[id]
 }
 
 func (r *Router) forget(wk int) {
@@ -211,40 +226,35 @@
 }
 
 func (f *function) make(wk int) *place {
-	if p := f.at(wk); p != nil {
-		return p
+	if f.at(wk) == nil {
+		f.places = append(f.places, place{wk: wk})
 	}
-	f.places = append(f.places, place{wk: wk})
-	return &f.places[len(f.places)-1]
+	return f.at(wk)
 }
 
 // Event takes one event.
 func (r *Router) Event(now float64, in Event) {
 	r.now = now
-	e := &event{Event: in, due: now + in.Left, wk: -1}
+	// A type that was never stated is handled with the most care.
+	e := &event{Event: in, at: now, due: now + in.Left, wk: -1,
+		kind: &EventType{TargetTime: in.Left, MaxAge: in.Left, Repeat: AtMostOnce}}
 	for i := range r.dep.EventTypes {
 		if r.dep.EventTypes[i].Name == in.Type {
 			e.kind = &r.dep.EventTypes[i]
 		}
 	}
-	if e.kind == nil { // a type that was never stated is handled with the most care
-		e.kind = &EventType{Name: in.Type, TargetTime: in.Left, MaxAge: in.Left, Repeat: AtMostOnce}
-	}
 	f := r.fns[in.Function]
 	if f == nil {
 		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1}
 		r.fns[in.Function] = f
 		r.every = append(r.every, f)
 	}
-	f.lanes, f.heard = max(in.Lanes, 1), now
-	if in.Load > 0 {
-		f.load = in.Load
-	}
+	f.lanes, f.heard, f.load = max(in.Lanes, 1), now, max(in.Load, f.load)
 	r.mark++
-	e.fn, e.mark = f, r.mark+1
+	e.fn, e.mark = f, r.mark
 	r.evts[e.ID], r.marks[e.mark] = e, e
 	r.taken = append(r.taken, now)
-	// Against an event that waits for a load past its time: a launch would end by itself.
+	// Against an event that waits here past its time: a launch would end by itself.
 	r.host.Wake(max(in.Left-r.dep.RoundGap, 0), e.mark)
 	r.todo = append(r.todo, e)
 	r.settle()
@@ -261,7 +271,7 @@
 // HungUp tells that the client has left.
 func (r *Router) HungUp(now float64, id EventID) {
 	r.now = now
-	if e := r.evts[id]; e != nil && !e.done {
+	if e := r.evts[id]; e != nil {
 		r.finish(e)
 	}
 	r.settle()
@@ -275,9 +285,8 @@
 		r.host.Wake(tick, 0)
 		r.age()
 	case mark == 1:
-		r.asked = now
 		r.host.Subscribe()
-	case e != nil && !e.done && !e.out:
+	case e != nil && !e.out && (e.parked || now >= e.due-2*r.dep.RoundGap):
 		r.giveUp(e)
 	}
 	r.settle()
@@ -297,7 +306,7 @@
 
 func (r *Router) reported(wk int, rep Report) {
 	if rep.Known&(HasRunning|HasWaiting) != 0 {
-		r.heard[wk] = max(rep.Running+rep.Waiting-float64(r.out[wk]), 0)
+		r.heard[wk] = max(rep.Running+rep.Waiting-float64(len(r.flying[wk])), 0)
 	}
 }
 
@@ -308,28 +317,29 @@
 	if e == nil || !e.out {
 		return
 	}
-	wk := e.wk
-	p := e.fn.make(wk)
+	wk, f := e.wk, e.fn
+	p := f.make(wk)
 	e.out = false
 	r.flying[wk] = slices.DeleteFunc(r.flying[wk], func(o *event) bool { return o == e })
+	f.out--
+	p.out--
+	r.reported(wk, end.Report)
 	if end.Result != TimedOut && end.Result != Cancelled {
 		r.answered[wk] = now
 	}
-	r.out[wk]--
-	e.fn.out--
-	p.out--
-	r.reported(wk, end.Report)
+	proven := false
 	switch end.Result {
 	case Handled:
 		r.handled[wk]++
-		r.strikes[wk] = 0
-		r.fails[wk] *= 1 - failPart
+		if r.fails[wk] *= 1 - failPart; r.fails[wk] < failMost/2 {
+			r.strikes[wk] = 0
+		}
 		if p.warm, p.seen = true, now; end.Warmth <= FoundWarm {
-			e.fn.timed(p, end.Took, now)
+			f.timed(p, end.Took, now)
+			r.resize(e, end.Took > roomLate*e.kind.TargetTime, end.Took < roomEarly*e.kind.TargetTime)
 		}
-	case Missed:
-		p.warm = false
 	case Failed, Broken, Unreachable:
+		proven = end.Result == Unreachable
 		r.fails[wk] += failPart * (1 - r.fails[wk])
 		if end.Result != Failed || r.fails[wk] > failMost {
 			r.strike(wk)
@@ -338,9 +348,15 @@
 			r.forget(wk)
 		}
 	case TurnedAway:
+		proven = true
 		r.noRoom[wk] = now + noRoomFor
+		r.resize(e, true, false)
+	case Missed:
+		proven, p.warm = true, false
+	case NeverSent:
+		proven = true
 	}
-	if r.mayHaveRun(end.Result) && !e.mayRun {
+	if !proven && !e.mayRun {
 		e.mayRun, e.runAt, e.runZone, e.runCell = true, e.sentAt, r.zone[wk], r.cell[wk]
 	}
 	switch {
@@ -351,11 +367,23 @@
 	default:
 		r.todo = append(r.todo, e)
 	}
+	r.todo = append(r.todo, r.parked...)
+	r.parked = nil
 	r.settle()
 }
 
-func (r *Router) mayHaveRun(res Result) bool {
-	return res != TurnedAway && res != Unreachable && res != NeverSent && res != Missed
+// resize moves the number of own events that a worker may hold, as its answers come late or early.
+// It guards against every cause that makes a worker do less than its fellows; a cut counts once for
+// all that was sent before it, against one jam being punished many times.
+func (r *Router) resize(e *event, late, early bool) {
+	wk := e.wk
+	switch held := float64(len(r.flying[wk])) + 1; {
+	case late && e.sentAt > r.cutAt[wk]:
+		r.room[wk] = max(min(r.room[wk], held)*roomCut, roomLeast)
+		r.cutAt[wk] = r.now
+	case early && held > r.room[wk]/2:
+		r.room[wk] = min(r.room[wk]+roomUp, roomMost)
+	}
 }
 
 func (f *function) timed(p *place, took, now float64) {
@@ -381,7 +409,7 @@
 }
 
 // strike sets a worker aside that lost, refused or broke events. The second in a row is believed,
-// each further one doubles the time; one launch at a time then tries it until it has handled one.
+// each further one doubles the time; one launch at a time then tries it until it has handled some.
 func (r *Router) strike(wk int) {
 	r.strikes[wk]++
 	if n := r.strikes[wk]; n >= 2 {
@@ -397,9 +425,6 @@
 	if !ok || f == nil {
 		return
 	}
-	if r.loads[wk] > 0 {
-		r.loads[wk]--
-	}
 	switch {
 	case copies > 0:
 		p := f.make(wk)
@@ -432,9 +457,8 @@
 
 // giveUp answers at once: deferred where a repeat is proven harmless, else dead-lettered.
 func (r *Router) giveUp(e *event) {
-	harmless := !e.mayRun || e.kind.Repeat == Redeliverable ||
-		e.kind.Repeat == Keyed && e.kind.Reach == ReachAll && r.now < e.runAt+e.kind.Remembered
-	if harmless {
+	if !e.mayRun || e.kind.Repeat == Redeliverable ||
+		e.kind.Repeat == Keyed && e.kind.Reach == ReachAll && r.now < e.runAt+e.kind.Remembered {
 		r.host.Defer(e.ID, r.dep.MaxPause/2)
 	} else {
 		r.host.DeadLetter(e.ID)
@@ -450,15 +474,13 @@
 		r.carried[wk] += min(span/rateSpan, 1) * (r.handled[wk]/span - r.carried[wk])
 		r.handled[wk] = 0
 	}
-	kept := r.every[:0]
-	for _, f := range r.every {
-		if f.order < 0 && r.now-f.heard > forgetAfter && f.out == 0 {
+	r.every = slices.DeleteFunc(r.every, func(f *function) bool {
+		idle := f.order < 0 && f.out == 0 && r.now-f.heard > forgetAfter
+		if idle {
 			delete(r.fns, f.id)
-		} else {
-			kept = append(kept, f)
 		}
-	}
-	r.every = kept
+		return idle
+	})
 	r.taken, r.ordered = r.within(r.taken, r.dep.LoadWindow), r.within(r.ordered, r.dep.LoadWindow)
 }
 
@@ -469,9 +491,18 @@
 	return times
 }
 
-// weight is what a worker can do beside others: its size, less while it is cold.
-func (r *Router) weight(wk int) float64 { return r.size[wk] * r.warmth(wk, r.now) }
+// mean is the mean of a figure over the serving workers for which it is known, 0 where there are none.
+func (r *Router) mean(figure func(wk int) (float64, bool)) float64 {
+	sum, n := 0.0, 0.0
+	for wk := range r.id {
+		if v, ok := figure(wk); ok && r.phase[wk] == Serving {
+			sum, n = sum+v, n+1
+		}
+	}
+	return sum / max(n, 1)
+}
 
+// warmth is the least part of its capacity that a worker may have at a time after its start.
 func (r *Router) warmth(wk int, at float64) float64 {
 	if r.born[wk] <= 0 || at-r.born[wk] >= r.dep.WarmWithin {
 		return 1
@@ -486,31 +517,22 @@
 	if r.warmth(wk, r.now) >= 1 {
 		return true
 	}
-	sum, n := 0.0, 0.0
-	for k := range r.id {
-		if r.phase[k] == Serving && r.kind[k] == r.kind[wk] && r.warmth(k, r.now) >= 1 {
-			sum, n = sum+r.carried[k], n+1
-		}
-	}
+	carried := r.mean(func(k int) (float64, bool) {
+		return r.carried[k], r.kind[k] == r.kind[wk] && r.warmth(k, r.now) >= 1
+	})
 	r.pushed[wk] = r.within(r.pushed[wk], r.dep.FallWindow)
 	start := max(r.now-r.dep.FallWindow, r.born[wk])
-	budget := coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * sum / max(n, 1)
+	budget := coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * carried
 	return float64(len(r.pushed[wk])+1) <= max(budget, 1)
 }
 
-// load is how busy a worker is believed to be; workers unheard of count as average.
+// load is how busy a worker is believed to be, for its size; workers unheard of count as average.
 func (r *Router) load(wk int) float64 {
 	heard := r.heard[wk]
 	if heard < 0 {
-		sum, n := 0.0, 0.0
-		for k := range r.id {
-			if r.heard[k] >= 0 && r.phase[k] == Serving {
-				sum, n = sum+r.heard[k], n+1
-			}
-		}
-		heard = sum / max(n, 1)
+		heard = r.mean(func(k int) (float64, bool) { return r.heard[k], r.heard[k] >= 0 })
 	}
-	return (float64(r.out[wk]+1) + heard) / r.weight(wk)
+	return (float64(len(r.flying[wk])+1) + heard) / (r.size[wk] * r.warmth(wk, r.now))
 }
 
 // may tells whether the rules let the event go to the worker at all.
@@ -521,23 +543,17 @@
 	if !e.mayRun || e.kind.Repeat == Redeliverable {
 		return true
 	}
-	within := r.now < e.runAt+e.kind.Remembered
-	switch e.kind.Reach {
-	case ReachZone:
-		within = within && r.zone[wk] == e.runZone
-	case ReachCell:
-		within = within && r.zone[wk] == e.runZone && r.cell[wk] == e.runCell
-	}
-	return within && e.kind.Repeat == Keyed
+	group := e.kind.Reach == ReachAll || r.zone[wk] == e.runZone &&
+		(e.kind.Reach == ReachZone || r.cell[wk] == e.runCell)
+	return group && e.kind.Repeat == Keyed && r.now < e.runAt+e.kind.Remembered
 }
 
 // fit tells whether a worker is in good health; one with strikes gets one launch at a time.
 func (r *Router) fit(wk int) bool {
-	return r.aside[wk] <= r.now && (r.strikes[wk] < 2 || r.out[wk] == 0)
+	held := len(r.flying[wk])
+	return r.aside[wk] <= r.now && float64(held) < r.room[wk] && (r.strikes[wk] < 2 || held == 0)
 }
 
-func (r *Router) warm(p *place) bool { return p.warm && (p.out > 0 || r.now < p.seen+r.dep.KeepWarm) }
-
 func hash(s string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(s))
@@ -554,16 +570,19 @@
 }
 
 // ranked lists the workers that pass, by rank, the one that just lost this event last.
-func (r *Router) ranked(e *event, pass func(wk int) bool) []int {
+func (r *Router) ranked(e *event, pass func(wk int, p *place) bool) []int {
 	list := r.scratch[:0]
 	for wk := range r.id {
-		if r.may(e, wk) && r.fit(wk) && pass(wk) {
+		if r.fit(wk) && r.may(e, wk) && pass(wk, e.fn.at(wk)) {
 			list = append(list, wk)
 		}
 	}
 	slices.SortFunc(list, func(a, b int) int {
-		if a == e.wk || b == e.wk {
-			return cmp.Compare(btoi(a == e.wk), btoi(b == e.wk))
+		if a == e.wk {
+			return 1
+		}
+		if b == e.wk {
+			return -1
 		}
 		return cmp.Compare(r.rank(e.fn, b), r.rank(e.fn, a))
 	})
@@ -571,13 +590,6 @@
 	return list
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // least picks the least-loaded of a list, ties at random.
 func (r *Router) least(list []int) int {
 	best, low, ties := -1, 0.0, 0
@@ -596,13 +608,12 @@
 
 // busy tells whether a worker carries well more than the mean.
 func (r *Router) busy(wk int) bool {
-	sum, n := 0.0, 0.0
-	for k := range r.id {
-		if r.phase[k] == Serving {
-			sum, n = sum+r.load(k), n+1
-		}
-	}
-	return r.load(wk) > busyMean*sum/max(n, 1)+busyMore/r.weight(wk)
+	mean := r.mean(func(k int) (float64, bool) { return r.load(k), true })
+	return r.load(wk) > busyMean*mean+busyMore/r.size[wk]
+}
+
+func (r *Router) warm(p *place) bool {
+	return p != nil && p.warm && (p.out > 0 || r.now < p.seen+r.dep.KeepWarm)
 }
 
 // slow is the design's latency test. A copy that is passed over gets no new figures, so an old one
@@ -614,28 +625,21 @@
 // bestWarm is the least-loaded of the warm copies in use: the first by rank, as many as the events in
 // flight fill. Spread over all copies, events would keep each alive and crowd the memory with them.
 func (r *Router) bestWarm(e *event, strict bool) int {
-	list := r.ranked(e, func(wk int) bool {
-		p := e.fn.at(wk)
-		if p == nil || !r.warm(p) {
-			return false
-		}
-		over := float64(p.out) >= overLanes*float64(e.fn.lanes) || r.slow(e.fn, p) || r.busy(wk)
-		return !strict || !over
+	list := r.ranked(e, func(wk int, p *place) bool {
+		return r.warm(p) && !(strict && (float64(p.out) >= overLanes*float64(e.fn.lanes) || r.slow(e.fn, p)))
 	})
 	return r.least(list[:min(len(list), 1+e.fn.out/e.fn.lanes)])
 }
 
 func (r *Router) launch(e *event, wk int, loading bool) {
-	e.wk, e.sentAt, e.out = wk, r.now, true
+	e.wk, e.sentAt, e.out, e.loading = wk, r.now, true, loading
 	e.launches++
-	r.out[wk]++
 	e.fn.out++
 	e.fn.make(wk).out++
+	r.flying[wk] = append(r.flying[wk], e)
 	if r.warmth(wk, r.now) < 1 {
 		r.pushed[wk] = append(r.pushed[wk], r.now)
 	}
-	e.loading = loading
-	r.flying[wk] = append(r.flying[wk], e)
 	r.host.Launch(e.ID, r.id[wk], e.due-r.now)
 }
 
@@ -650,10 +654,7 @@
 
 // loadSite is the first worker by rank that is not busy, else the least-loaded one.
 func (r *Router) loadSite(e *event) int {
-	list := r.ranked(e, func(wk int) bool {
-		p := e.fn.at(wk)
-		return r.noRoom[wk] <= r.now && (p == nil || !r.warm(p))
-	})
+	list := r.ranked(e, func(wk int, p *place) bool { return r.noRoom[wk] <= r.now && !r.warm(p) })
 	for _, wk := range list {
 		if !r.busy(wk) && wk != e.wk {
 			return wk
@@ -662,13 +663,6 @@
 	return r.least(list)
 }
 
-func (r *Router) order(f *function, wk int) {
-	f.order, f.orderedAt = wk, r.now
-	r.loads[wk]++
-	r.ordered = append(r.ordered, r.now)
-	r.host.Hold(r.id[wk], f.id, 1)
-}
-
 // settle goes through the rules until none fires.
 func (r *Router) settle() {
 	for fired := true; fired; {
@@ -681,6 +675,7 @@
 		}
 		e := r.todo[0]
 		r.todo = r.todo[1:]
+		e.parked = false
 		fired = true
 		for i := 0; !e.done && !eventRules[i](r, e); i++ {
 		}
@@ -778,7 +773,9 @@
 			return false
 		}
 		if wk := r.loadSite(e); wk >= 0 {
-			r.order(e.fn, wk)
+			e.fn.order, e.fn.orderedAt = wk, r.now
+			r.ordered = append(r.ordered, r.now)
+			r.host.Hold(r.id[wk], e.fn.id, 1)
 			if r.bestWarm(e, false) < 0 {
 				e.fn.followers = append(e.fn.followers, e)
 				return true
@@ -809,20 +806,26 @@
 	},
 	// Without orders a worker loads what it is sent, where the deployment's workers do that.
 	func(r *Router, e *event) bool {
-		wk := -1
-		if !r.dep.MissAnswers {
-			if wk = r.loadSite(e); wk < 0 {
-				wk = r.least(r.ranked(e, func(int) bool { return true }))
-			}
+		if r.dep.MissAnswers || r.mayOrder() {
+			return false
 		}
+		wk := r.loadSite(e)
 		if wk >= 0 {
 			r.launch(e, wk, true)
 		}
 		return wk >= 0
 	},
-	// Nobody can take it now.
+	// Nobody has room: it waits here while it may yet be in time, against queues that only make late
+	// answers; then it is given up at once.
 	func(r *Router, e *event) bool {
-		r.giveUp(e)
+		left := e.at + patience*e.kind.TargetTime - r.now
+		if left <= 0 {
+			r.giveUp(e)
+			return true
+		}
+		e.parked = true
+		r.parked = append(r.parked, e)
+		r.host.Wake(left, e.mark)
 		return true
 	},
 }
