--- a/control/control.go
+++ b/control/control.go
@@ -19,6 +19,7 @@
 	slowCopies  = 2    // on this many functions: the worker is set aside
 	asideFor    = 2.0  // for so long; troubles of other kinds double it up to asideMost
 	asideMost   = 8.0  // against asking a dead worker too often, yet finding it soon when it is back
+	asidePart   = 0.4  // of the serving workers at most: past it all are slow, and leaving them harms
 	recentPart  = 0.2  // weight of the newest latency, low against single heavy events
 	medianStep  = 1.05 // step of the running median, against outliers that a mean would follow
 	failPart    = 0.25 // weight of the newest outcome in a worker's share of failures
@@ -122,6 +123,7 @@
 	noRoom   []float64   // no load fits before
 	pushed   [][]float64 // launches of the current fall window while cold
 	carried  []float64   // own events handled each second
+	most     []float64   // most of that while warm
 	handled  []float64   // own events handled since the last tick
 	taken    []float64   // events taken within the load window
 	ordered  []float64   // load orders within the load window
@@ -202,7 +204,7 @@
 	add(&r.room, roomStart)
 	add(&r.heard, -1)
 	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.aside, &r.fails, &r.noRoom,
-		&r.carried, &r.handled} {
+		&r.carried, &r.most, &r.handled} {
 		add(figures, 0)
 	}
 	return r.index[id]
@@ -413,10 +415,25 @@
 func (r *Router) strike(wk int) {
 	r.strikes[wk]++
 	if n := r.strikes[wk]; n >= 2 {
-		r.aside[wk] = r.now + min(asideFor*float64(int(1)<<min(n-2, 8)), asideMost)
+		r.leave(wk, min(asideFor*float64(int(1)<<min(n-2, 8)), asideMost))
 	}
 }
 
+// leave sets a worker aside, unless so many are that the trouble can't be theirs.
+func (r *Router) leave(wk int, span float64) bool {
+	part := r.mean(func(k int) (float64, bool) {
+		if r.aside[k] > r.now {
+			return 1, true
+		}
+		return 0, true
+	})
+	if part >= asidePart {
+		return false
+	}
+	r.aside[wk] = r.now + span
+	return true
+}
+
 // Held is the answer to an order.
 func (r *Router) Held(now float64, id WorkerID, fn FunctionID, res Result, copies int, took float64) {
 	r.now = now
@@ -472,7 +489,9 @@
 	r.lastTick = r.now
 	for wk := range r.id {
 		r.carried[wk] += min(span/rateSpan, 1) * (r.handled[wk]/span - r.carried[wk])
-		r.handled[wk] = 0
+		if r.handled[wk] = 0; r.warmth(wk, r.now) >= 1 {
+			r.most[wk] = max(r.most[wk], r.carried[wk])
+		}
 	}
 	r.every = slices.DeleteFunc(r.every, func(f *function) bool {
 		idle := f.order < 0 && f.out == 0 && r.now-f.heard > forgetAfter
@@ -517,12 +536,17 @@
 	if r.warmth(wk, r.now) >= 1 {
 		return true
 	}
-	carried := r.mean(func(k int) (float64, bool) {
-		return r.carried[k], r.kind[k] == r.kind[wk] && r.warmth(k, r.now) >= 1
-	})
+	// The most that each carried, also those gone: in a rollout soon none is warm, and a budget from
+	// what cold workers carry would shrink itself.
+	sum, n := 0.0, 0.0
+	for k, most := range r.most {
+		if r.kind[k] == r.kind[wk] && most > 0 {
+			sum, n = sum+most, n+1
+		}
+	}
 	r.pushed[wk] = r.within(r.pushed[wk], r.dep.FallWindow)
 	start := max(r.now-r.dep.FallWindow, r.born[wk])
-	budget := coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * carried
+	budget := coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * sum / max(n, 1)
 	return float64(len(r.pushed[wk])+1) <= max(budget, 1)
 }
 
@@ -689,12 +713,13 @@
 		for wk := range r.id {
 			n := 0
 			for _, f := range r.every {
-				if p := f.at(wk); p != nil && p.slowSince > 0 && r.now-p.slowSince >= slowFor {
+				// Slow answers must span the time: after a single one nothing more may have been sent.
+				if p := f.at(wk); p != nil && p.slowSince > 0 && p.timedAt-p.slowSince >= slowFor {
 					n++
 				}
 			}
 			if n >= slowCopies && r.aside[wk] <= r.now {
-				r.aside[wk], fired = r.now+asideFor, true
+				fired = r.leave(wk, asideFor) || fired
 				for _, f := range r.every {
 					if p := f.at(wk); p != nil {
 						p.slowSince, p.recent = 0, 0
@@ -718,7 +743,8 @@
 			if waits < muteFor || longest < muteLeast || r.aside[wk] > r.now {
 				continue
 			}
-			r.strikes[wk] = max(r.strikes[wk], 1)
+			// From here on only new silence counts.
+			r.answered[wk], r.strikes[wk] = r.now, max(r.strikes[wk], 1)
 			r.strike(wk)
 			fired = true
 			for _, e := range r.flying[wk] {
