--- a/control/control.go
+++ b/control/control.go
@@ -24,11 +24,11 @@
 	medianStep  = 1.05 // step of the running median, against outliers that a mean would follow
 	failPart    = 0.25 // weight of the newest outcome in a worker's share of failures
 	failMost    = 0.4  // share of failures past which a worker answers fast but wrong
-	muteFor     = 12.0 // medians waited in all, with no answer since, before a worker counts as silent
-	muteLeast   = 0.3  // but not sooner, against a short pause
+	muteFor     = 20.0 // medians waited in all, with no answer since, before a worker counts as silent
+	muteLeast   = 0.6  // but not sooner, against a short pause
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
 	roomStart   = 6.0  // own events that a worker may hold at first
-	roomLeast   = 1.0  // and at the least, so that its recovery is seen
+	roomLeast   = 2.0  // and at the least, so that its recovery is seen
 	roomMost    = 64.0 // and at the most
 	roomUp      = 0.2  // added by an answer well within the target time while the room is used
 	roomCut     = 0.75 // kept after an answer past roomLate of the target time
