--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	failMost    = 0.4  // share of failures past which a worker answers fast but wrong
 	muteFor     = 20.0 // medians waited in all, with no answer since, before a worker counts as silent
 	muteLeast   = 0.6  // but not sooner, against a short pause
+	moreEvery   = 1.0  // pause before one more copy beside others, against a jam that sows copies everywhere
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
 	roomStart   = 6.0  // own events that a worker may hold at first
 	roomLeast   = 2.0  // and at the least, so that its recovery is seen
@@ -795,7 +796,7 @@
 	},
 	// None passes: one load at a time for each function, on the least-utilized worker.
 	func(r *Router, e *event) bool {
-		if e.fn.order >= 0 || !r.mayOrder() {
+		if e.fn.order >= 0 || !r.mayOrder() || r.now-e.fn.orderedAt < moreEvery && r.bestWarm(e, false) >= 0 {
 			return false
 		}
 		if wk := r.loadSite(e); wk >= 0 {
