--- a/control/control.go
+++ b/control/control.go
@@ -641,6 +641,13 @@
 	return p != nil && p.warm && (p.out > 0 || r.now < p.seen+r.dep.KeepWarm)
 }
 
+// standing tells whether a warm copy is known on a worker that is in use, with room or without.
+func (r *Router) standing(f *function) bool {
+	return slices.ContainsFunc(f.places, func(p place) bool {
+		return r.warm(&p) && r.phase[p.wk] == Serving && r.aside[p.wk] <= r.now
+	})
+}
+
 // slow is the design's latency test. A copy that is passed over gets no new figures, so an old one
 // must not keep it out for good, nor one heavy event an idle copy.
 func (r *Router) slow(f *function, p *place) bool {
@@ -796,7 +803,7 @@
 	},
 	// None passes: one load at a time for each function, on the least-utilized worker.
 	func(r *Router, e *event) bool {
-		if e.fn.order >= 0 || !r.mayOrder() || r.now-e.fn.orderedAt < moreEvery && r.bestWarm(e, false) >= 0 {
+		if e.fn.order >= 0 || !r.mayOrder() || r.now-e.fn.orderedAt < moreEvery && r.standing(e.fn) {
 			return false
 		}
 		if wk := r.loadSite(e); wk >= 0 {
