--- a/control/control.go
+++ b/control/control.go
@@ -35,6 +35,7 @@
 	roomCut     = 0.75 // kept after an answer past roomLate of the target time
 	roomEarly   = 0.5
 	roomLate    = 0.8
+	unparkEach  = 2    // waiting events decided anew at each ending
 	patience    = 0.35 // part of the target time that an event may wait here for room
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
@@ -47,47 +48,39 @@
 
 type event struct {
 	Event
-	kind     *EventType
-	fn       *function
-	at, due  float64
-	mark     uint64
-	launches int
-	wk       int // worker of the newest launch, -1 before
-	sentAt   float64
-	out      bool
-	streams  bool
-	loading  bool // sent to wait for a load
-	parked   bool // waits here for room
-	done     bool
-	mayRun   bool // some launch may have run; the run figures tell where and when the first such went
-	runZone  ZoneID
-	runCell  int
-	runAt    float64
+	kind               *EventType
+	fn                 *function
+	at, due, sentAt    float64
+	mark               uint64
+	launches           int
+	wk                 int // worker of the newest launch, -1 before
+	out, streams, done bool
+	loading            bool // sent to wait for a load
+	parked             bool // waits here for room
+	mayRun             bool // some launch may have run; when and where the first such went:
+	runAt              float64
+	runZone            ZoneID
+	runCell            int
 }
 
 // place is one function on one worker, as this front end believes it.
 type place struct {
-	wk        int
-	out       int
-	warm      bool
-	seen      float64
-	recent    float64 // recent latency, last fed at timedAt
-	timedAt   float64
-	slowSince float64
+	wk, out         int
+	warm            bool
+	seen, slowSince float64
+	recent, timedAt float64 // recent latency and when it was last fed
 }
 
 type function struct {
-	id        FunctionID
-	hash      uint64
-	out       int // own launches in flight
-	lanes     int
-	load      float64 // usual time of a load, where it is told
-	median    float64
-	heard     float64
-	places    []place
-	order     int // worker with a load of ours under way, -1 for none
-	orderedAt float64
-	followers []*event
+	id           FunctionID
+	hash         uint64
+	lanes, out   int     // own launches in flight
+	load, median float64 // usual time of a load, where it is told; running median of latency
+	heard        float64
+	places       []place
+	order        int // worker with a load of ours under way, -1 for none
+	orderedAt    float64
+	followers    []*event
 }
 
 // Router decides for one front end.
@@ -105,31 +98,34 @@
 	every  []*function
 	index  map[WorkerID]int
 
-	id       []WorkerID
-	hash     []uint64
-	zone     []ZoneID
-	kind     []KindID
-	cell     []int
-	phase    []Phase
-	size     []float64
-	born     []float64
-	flying   [][]*event  // own events in flight
-	answered []float64   // newest answer
-	room     []float64   // own events that it may hold
-	cutAt    []float64   // when that was last cut
-	heard    []float64   // events held there by its newest report, less our own; -1 unheard
-	aside    []float64   // set aside until
-	strikes  []int       // troubles in a row
-	fails    []float64   // share of late failures
-	noRoom   []float64   // no load fits before
-	pushed   [][]float64 // launches of the current fall window while cold
-	carried  []float64   // own events handled each second
-	most     []float64   // most of that while warm
-	handled  []float64   // own events handled since the last tick
-	taken    []float64   // events taken within the load window
-	ordered  []float64   // load orders within the load window
-	lastTick float64
-	scratch  []int
+	id                  []WorkerID
+	hash                []uint64
+	zone                []ZoneID
+	kind                []KindID
+	cell                []int
+	phase               []Phase
+	size                []float64
+	born                []float64
+	flying              [][]*event  // own events in flight
+	answered            []float64   // newest answer
+	room                []float64   // own events that it may hold
+	cutAt               []float64   // when that was last cut
+	heard               []float64   // events held there by its newest report, less our own; -1 unheard
+	aside               []float64   // set aside until
+	strikes             []int       // troubles in a row
+	fails               []float64   // share of late failures
+	noRoom              []float64   // no load fits before
+	pushed              [][]float64 // launches of the current fall window while cold
+	carried             []float64   // own events handled each second
+	most                []float64   // most of that while warm
+	handled             []float64   // own events handled since the last tick
+	taken               []float64   // events taken within the load window
+	ordered             []float64   // load orders within the load window
+	lastTick            float64
+	look                bool    // the fleet rules are due
+	meanAt              float64 // when the means over the fleet were taken
+	meanLoad, meanHeard float64
+	scratch             []int
 }
 
 // New makes the module of one front end.
@@ -166,9 +162,10 @@
 			continue
 		}
 		if known && w.Born != r.born[i] {
-			// A process that started anew holds none of the copies that were seen there.
+			// A process that started anew holds none of the copies that were seen there. Its strikes
+			// stay: one that dies again and again gets one launch at a time until it does well.
 			r.forget(i)
-			r.strikes[i], r.fails[i], r.aside[i], r.noRoom[i], r.room[i] = 0, 0, 0, 0, roomStart
+			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, roomStart
 		}
 		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, w.Kind, w.Cell, w.Size, w.Born
 		if r.size[i] <= 0 {
@@ -180,6 +177,7 @@
 			r.phase[i] = Gone
 		}
 	}
+	r.look = true
 	r.settle()
 }
 
@@ -265,7 +263,6 @@
 
 // Started tells that an answer has begun to stream; it has no max age from then on.
 func (r *Router) Started(now float64, id EventID) {
-	r.now = now
 	if e := r.evts[id]; e != nil {
 		e.streams = true
 	}
@@ -287,6 +284,8 @@
 	case mark == 0:
 		r.host.Wake(tick, 0)
 		r.age()
+		r.unpark(len(r.parked))
+		r.look = true
 	case mark == 1:
 		r.host.Subscribe()
 	case e != nil && !e.out && (e.parked || now >= e.due-2*r.dep.RoundGap):
@@ -370,11 +369,18 @@
 	default:
 		r.todo = append(r.todo, e)
 	}
-	r.todo = append(r.todo, r.parked...)
-	r.parked = nil
+	r.unpark(unparkEach)
 	r.settle()
 }
 
+// unpark has the longest waiting events decided anew; all of them at each ending would cost more
+// time than there is when a crowd waits.
+func (r *Router) unpark(n int) {
+	n = min(n, len(r.parked))
+	r.todo = append(r.todo, r.parked[:n]...)
+	r.parked = r.parked[n:]
+}
+
 // resize moves the number of own events that a worker may hold, as its answers come late or early.
 // It guards against every cause that makes a worker do less than its fellows; a cut counts once for
 // all that was sent before it, against one jam being punished many times.
@@ -555,11 +561,21 @@
 func (r *Router) load(wk int) float64 {
 	heard := r.heard[wk]
 	if heard < 0 {
-		heard = r.mean(func(k int) (float64, bool) { return r.heard[k], r.heard[k] >= 0 })
+		heard = r.meanHeard
 	}
 	return (float64(len(r.flying[wk])+1) + heard) / (r.size[wk] * r.warmth(wk, r.now))
 }
 
+// survey takes the means over the fleet, once for each moment.
+func (r *Router) survey() {
+	if r.meanAt == r.now {
+		return
+	}
+	r.meanAt = r.now
+	r.meanHeard = r.mean(func(k int) (float64, bool) { return r.heard[k], r.heard[k] >= 0 })
+	r.meanLoad = r.mean(func(k int) (float64, bool) { return r.load(k), true })
+}
+
 // may tells whether the rules let the event go to the worker at all.
 func (r *Router) may(e *event, wk int) bool {
 	if r.phase[wk] != Serving || !r.coldRoom(wk) {
@@ -633,8 +649,7 @@
 
 // busy tells whether a worker carries well more than the mean.
 func (r *Router) busy(wk int) bool {
-	mean := r.mean(func(k int) (float64, bool) { return r.load(k), true })
-	return r.load(wk) > busyMean*mean+busyMore/r.size[wk]
+	return r.load(wk) > busyMean*r.meanLoad+busyMore/r.size[wk]
 }
 
 func (r *Router) warm(p *place) bool {
@@ -697,11 +712,13 @@
 
 // settle goes through the rules until none fires.
 func (r *Router) settle() {
+	r.survey()
 	for fired := true; fired; {
 		fired = false
 		for _, rule := range fleetRules {
-			fired = rule(r) || fired
+			fired = r.look && rule(r) || fired
 		}
+		r.look = fired
 		if len(r.todo) == 0 {
 			continue
 		}
