--- a/control/control.go
+++ b/control/control.go
@@ -7,7 +7,7 @@
 )
 
 // A host makes one Router for each front end with New, then calls List, Event, Ended, Held, Probed,
-// Told, Started, HungUp and Woken as things come in, each with the clock. Answers go out through
+// Started, HungUp and Woken as things come in, each with the clock. Answers go out through
 // Host (types.go) before the call returns. Every call notes what it heard and then goes through two
 // ordered lists of rules, fleetRules and eventRules, until none fires. The mechanism is that of
 // docs/design.md; a comment at each rule or figure says what it guards against.
@@ -98,34 +98,33 @@
 	every  []*function
 	index  map[WorkerID]int
 
-	id                  []WorkerID
-	hash                []uint64
-	zone                []ZoneID
-	kind                []KindID
-	cell                []int
-	phase               []Phase
-	size                []float64
-	born                []float64
-	flying              [][]*event  // own events in flight
-	answered            []float64   // newest answer
-	room                []float64   // own events that it may hold
-	cutAt               []float64   // when that was last cut
-	heard               []float64   // events held there by its newest report, less our own; -1 unheard
-	aside               []float64   // set aside until
-	strikes             []int       // troubles in a row
-	fails               []float64   // share of late failures
-	noRoom              []float64   // no load fits before
-	pushed              [][]float64 // launches of the current fall window while cold
-	carried             []float64   // own events handled each second
-	most                []float64   // most of that while warm
-	handled             []float64   // own events handled since the last tick
-	taken               []float64   // events taken within the load window
-	ordered             []float64   // load orders within the load window
-	lastTick            float64
-	look                bool    // the fleet rules are due
-	meanAt              float64 // when the means over the fleet were taken
-	meanLoad, meanHeard float64
-	scratch             []int
+	id       []WorkerID
+	hash     []uint64
+	zone     []ZoneID
+	kind     []KindID
+	cell     []int
+	phase    []Phase
+	size     []float64
+	born     []float64
+	flying   [][]*event  // own events in flight
+	answered []float64   // newest answer
+	room     []float64   // own events that it may hold
+	cutAt    []float64   // when that was last cut
+	heard    []float64   // events held there by its newest report, less our own; -1 unheard
+	aside    []float64   // set aside until
+	strikes  []int       // troubles in a row
+	fails    []float64   // share of late failures
+	noRoom   []float64   // no load fits before
+	pushed   [][]float64 // launches of the current fall window while cold
+	handled  []float64   // own events handled since the last tick
+	carried  []float64   // own events handled each second, and the most of that while warm
+	most     []float64
+
+	taken, ordered              []float64 // events taken and loads ordered within the load window
+	lastTick                    float64
+	look                        bool // the fleet rules are due
+	meanAt, meanLoad, meanHeard float64
+	scratch                     []int
 }
 
 // New makes the module of one front end.
@@ -187,24 +186,15 @@
 	r.host.Wake(asideFor, 1)
 }
 
-func add[T any](list *[]T, v T) { *list = append(*list, v) }
-
 func (r *Router) admit(id WorkerID) int {
 	r.index[id] = len(r.id)
-	add(&r.id, id)
-	add(&r.hash, hash(string(id)))
-	add(&r.zone, "")
-	add(&r.kind, "")
-	add(&r.cell, 0)
-	add(&r.phase, Serving)
-	add(&r.flying, nil)
-	add(&r.strikes, 0)
-	add(&r.pushed, nil)
-	add(&r.room, roomStart)
-	add(&r.heard, -1)
+	r.id, r.hash = append(r.id, id), append(r.hash, hash(string(id)))
+	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, ""), append(r.cell, 0)
+	r.phase, r.flying, r.strikes = append(r.phase, Serving), append(r.flying, nil), append(r.strikes, 0)
+	r.room, r.heard, r.pushed = append(r.room, roomStart), append(r.heard, -1), append(r.pushed, nil)
 	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.aside, &r.fails, &r.noRoom,
 		&r.carried, &r.most, &r.handled} {
-		add(figures, 0)
+		*figures = append(*figures, 0)
 	}
 	return r.index[id]
 }
@@ -294,9 +284,6 @@
 	r.settle()
 }
 
-// Told is a message of another front end.
-func (r *Router) Told(now float64, from int, data []byte) { r.now = now }
-
 // Probed is the end of a probe.
 func (r *Router) Probed(now float64, id WorkerID, res Result, took float64, rep Report) {
 	r.now = now
@@ -396,23 +383,20 @@
 }
 
 func (f *function) timed(p *place, took, now float64) {
-	switch {
-	case f.median == 0:
+	if f.median == 0 {
 		f.median = took
-	case took > f.median:
-		f.median *= medianStep
-	default:
-		f.median /= medianStep
 	}
 	if p.recent == 0 {
 		p.recent = min(took, f.median)
 	}
+	if f.median *= medianStep; took < f.median {
+		f.median /= medianStep * medianStep
+	}
 	p.recent += recentPart * (took - p.recent)
 	p.timedAt = now
-	switch slow := p.recent > overMedian*f.median; {
-	case !slow:
+	if p.recent <= overMedian*f.median {
 		p.slowSince = 0
-	case p.slowSince == 0:
+	} else if p.slowSince == 0 {
 		p.slowSince = now
 	}
 }
@@ -428,25 +412,24 @@
 
 // leave sets a worker aside, unless so many are that the trouble can't be theirs.
 func (r *Router) leave(wk int, span float64) bool {
-	part := r.mean(func(k int) (float64, bool) {
-		if r.aside[k] > r.now {
-			return 1, true
-		}
-		return 0, true
-	})
-	if part >= asidePart {
+	kept := r.mean(func(k int) (float64, bool) { return min(max((r.aside[k]-r.now)*1e9, 0), 1), true })
+	if kept >= asidePart {
 		return false
 	}
 	r.aside[wk] = r.now + span
+	for _, f := range r.every {
+		if p := f.at(wk); p != nil {
+			p.slowSince, p.recent = 0, 0
+		}
+	}
 	return true
 }
 
 // Held is the answer to an order.
 func (r *Router) Held(now float64, id WorkerID, fn FunctionID, res Result, copies int, took float64) {
 	r.now = now
-	wk, ok := r.index[id]
-	f := r.fns[fn]
-	if !ok || f == nil {
+	wk, f := r.index[id], r.fns[fn]
+	if f == nil {
 		return
 	}
 	switch {
@@ -602,15 +585,19 @@
 }
 
 // rank orders the workers for a function, alike at every front end, so that front ends which never
-// speak to each other keep its copies in the same few places. Highest comes first.
-func (r *Router) rank(f *function, wk int) uint64 {
-	x := f.hash ^ r.hash[wk]
+// speak to each other keep its copies in the same few places. Highest comes first, and last the worker
+// that just lost the event.
+func (r *Router) rank(e *event, wk int) uint64 {
+	if wk == e.wk {
+		return 0
+	}
+	x := e.fn.hash ^ r.hash[wk]
 	x = (x ^ x>>33) * 0xff51afd7ed558ccd
 	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
 
-// ranked lists the workers that pass, by rank, the one that just lost this event last.
+// ranked lists the workers that pass, by rank.
 func (r *Router) ranked(e *event, pass func(wk int, p *place) bool) []int {
 	list := r.scratch[:0]
 	for wk := range r.id {
@@ -618,15 +605,7 @@
 			list = append(list, wk)
 		}
 	}
-	slices.SortFunc(list, func(a, b int) int {
-		if a == e.wk {
-			return 1
-		}
-		if b == e.wk {
-			return -1
-		}
-		return cmp.Compare(r.rank(e.fn, b), r.rank(e.fn, a))
-	})
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(r.rank(e, b), r.rank(e, a)) })
 	r.scratch = list
 	return list
 }
@@ -647,11 +626,6 @@
 	return best
 }
 
-// busy tells whether a worker carries well more than the mean.
-func (r *Router) busy(wk int) bool {
-	return r.load(wk) > busyMean*r.meanLoad+busyMore/r.size[wk]
-}
-
 func (r *Router) warm(p *place) bool {
 	return p != nil && p.warm && (p.out > 0 || r.now < p.seen+r.dep.KeepWarm)
 }
@@ -699,11 +673,11 @@
 	return float64(len(r.ordered)+1) <= r.dep.LoadFree+r.dep.LoadShare*float64(len(r.taken))
 }
 
-// loadSite is the first worker by rank that is not busy, else the least-loaded one.
+// loadSite is the first worker by rank that does not carry well more than the mean, else the least-loaded.
 func (r *Router) loadSite(e *event) int {
 	list := r.ranked(e, func(wk int, p *place) bool { return r.noRoom[wk] <= r.now && !r.warm(p) })
 	for _, wk := range list {
-		if !r.busy(wk) && wk != e.wk {
+		if r.load(wk) <= busyMean*r.meanLoad+busyMore/r.size[wk] && wk != e.wk {
 			return wk
 		}
 	}
@@ -743,13 +717,8 @@
 					n++
 				}
 			}
-			if n >= slowCopies && r.aside[wk] <= r.now {
-				fired = r.leave(wk, asideFor) || fired
-				for _, f := range r.every {
-					if p := f.at(wk); p != nil {
-						p.slowSince, p.recent = 0, 0
-					}
-				}
+			if n >= slowCopies && r.aside[wk] <= r.now && r.leave(wk, asideFor) {
+				fired = true
 			}
 		}
 		return fired
--- a/control/types.go
+++ b/control/types.go
@@ -59,7 +59,6 @@
 	MayOrder    bool
 	MayProbe    bool
 	MayCancel   bool
-	MayTell     bool
 	ProbeLoads  bool // only probes bring load reports
 	MaxLaunches int
 	MaxPause    float64 // longest wait that a deferred client heeds; 0 where it is told none
@@ -173,9 +172,7 @@
 	DeadLetter(evt EventID)
 	Cancel(evt EventID, launch int)
 	Hold(wk WorkerID, fn FunctionID, copies int)
-	Unload(wk WorkerID, fn FunctionID)
 	Probe(wk WorkerID)
-	Tell(data []byte) // to every other front end
 	Wake(after float64, mark uint64)
 	Subscribe()
 }
--- a/wire/conf.go
+++ b/wire/conf.go
@@ -14,9 +14,9 @@
 	}
 	Balancers int
 	Caps      struct {
-		Cancel, Peers, Probes, RetryAfter bool
-		MaxRetryAfterMs                   float64
-		MostTries                         int
+		Cancel, Probes, RetryAfter bool
+		MaxRetryAfterMs            float64
+		MostTries                  int
 	}
 	Classes []struct {
 		Name, Idempotency, Group      string
@@ -60,7 +60,6 @@
 		MayOrder:    c.Domain.MayOrder,
 		MayProbe:    c.Caps.Probes,
 		MayCancel:   c.Caps.Cancel,
-		MayTell:     c.Caps.Peers,
 		ProbeLoads:  c.Telemetry.How == "on_probe",
 		MaxLaunches: max(c.Caps.MostTries, 1),
 		KeepWarm:    c.Domain.StaysLoadedMs / 1000,
--- a/wire/line.go
+++ b/wire/line.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"encoding/base64"
 	"fmt"
 	"math"
 	"strconv"
@@ -122,18 +121,6 @@
 	}
 }
 
-func (l *line) octets(field string) []byte {
-	v := l.need(field)
-	if v == "-" {
-		return nil
-	}
-	b, err := base64.StdEncoding.DecodeString(v)
-	if err != nil {
-		panic(fault{l.no, field, "not base64"})
-	}
-	return b
-}
-
 func pick[T any](l *line, field string, words map[string]T) T {
 	v, ok := words[l.need(field)]
 	if !ok {
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -185,9 +184,6 @@
 		i.mod.Probed(s.now, control.WorkerID(l.need("Worker")), pick(l, "Rc", results), l.seconds("DelaySeenMs"),
 			l.report("Pressure"))
 	},
-	"PEER_DATA": func(s *server, i *instance, l *line) {
-		i.mod.Told(s.now, l.whole("From"), l.octets("Octets"))
-	},
 	"WAKEUP": func(s *server, i *instance, l *line) {
 		i.mod.Woken(s.now, l.mark("Mark"))
 	},
@@ -227,16 +223,8 @@
 	i.say("PRELOAD", "Worker", string(wk), "Function", string(fn), "UnitsHeld", strconv.Itoa(copies))
 }
 
-func (i *instance) Unload(wk control.WorkerID, fn control.FunctionID) {
-	i.say("RELEASE_IDLE", "Worker", string(wk), "Function", string(fn))
-}
-
 func (i *instance) Probe(wk control.WorkerID) { i.say("CHECK", "Worker", string(wk)) }
 
-func (i *instance) Tell(data []byte) {
-	i.say("POST", "Whom", "*", "Octets", base64.StdEncoding.EncodeToString(data))
-}
-
 func (i *instance) Wake(after float64, mark uint64) {
 	i.say("NOTIFY_ME", "SleepForMs", millis(after), "Mark", strconv.FormatUint(mark, 10))
 }
