--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	failMost    = 0.4  // share of failures past which a worker answers fast but wrong
 	muteFor     = 20.0 // medians waited in all, with no answer since, before a worker counts as silent
 	muteLeast   = 0.6  // but not sooner, against a short pause
+	waitsMost   = 3    // load orders that an event follows, against one that fits nowhere
 	moreEvery   = 1.0  // pause before one more copy beside others, against a jam that sows copies everywhere
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
 	roomStart   = 6.0  // own events that a worker may hold at first
@@ -52,7 +53,7 @@
 	fn                 *function
 	at, due, sentAt    float64
 	mark               uint64
-	launches           int
+	launches, waits    int // waits counts the load orders that it followed
 	wk                 int // worker of the newest launch, -1 before
 	out, streams, done bool
 	loading            bool // sent to wait for a load
@@ -115,7 +116,7 @@
 	strikes  []int       // troubles in a row
 	fails    []float64   // share of late failures
 	noRoom   []float64   // no load fits before
-	pushed   [][]float64 // launches of the current fall window while cold
+	pushed   [][]float64 // launches of the current fall window, also from before a start was told
 	handled  []float64   // own events handled since the last tick
 	carried  []float64   // own events handled each second, and the most of that while warm
 	most     []float64
@@ -447,6 +448,11 @@
 	r.settle()
 }
 
+func (f *function) wait(e *event) {
+	e.waits++
+	f.followers = append(f.followers, e)
+}
+
 // follow lets the events that waited for an order be decided anew.
 func (r *Router) follow(f *function) {
 	f.order = -1
@@ -658,9 +664,7 @@
 	e.fn.out++
 	e.fn.make(wk).out++
 	r.flying[wk] = append(r.flying[wk], e)
-	if r.warmth(wk, r.now) < 1 {
-		r.pushed[wk] = append(r.pushed[wk], r.now)
-	}
+	r.pushed[wk] = append(r.within(r.pushed[wk], r.dep.FallWindow), r.now)
 	r.host.Launch(e.ID, r.id[wk], e.due-r.now)
 }
 
@@ -789,7 +793,7 @@
 	},
 	// None passes: one load at a time for each function, on the least-utilized worker.
 	func(r *Router, e *event) bool {
-		if e.fn.order >= 0 || !r.mayOrder() || r.now-e.fn.orderedAt < moreEvery && r.standing(e.fn) {
+		if e.fn.order >= 0 || e.waits >= waitsMost || !r.mayOrder() || r.now-e.fn.orderedAt < moreEvery && r.standing(e.fn) {
 			return false
 		}
 		if wk := r.loadSite(e); wk >= 0 {
@@ -797,7 +801,7 @@
 			r.ordered = append(r.ordered, r.now)
 			r.host.Hold(r.id[wk], e.fn.id, 1)
 			if r.bestWarm(e, false) < 0 {
-				e.fn.followers = append(e.fn.followers, e)
+				e.fn.wait(e)
 				return true
 			}
 		}
@@ -814,13 +818,13 @@
 	// Else the loading worker, once the order has surely reached it; else it waits for the answer.
 	func(r *Router, e *event) bool {
 		wk := e.fn.order
-		if wk < 0 {
+		if wk < 0 || e.waits >= waitsMost {
 			return false
 		}
 		if r.now-e.fn.orderedAt > 4*r.dep.RoundGap && r.may(e, wk) && r.fit(wk) && wk != e.wk {
 			r.launch(e, wk, true)
 		} else {
-			e.fn.followers = append(e.fn.followers, e)
+			e.fn.wait(e)
 		}
 		return true
 	},
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,237 @@
+package control
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"testing/quick"
+)
+
+func plain() *Deployment {
+	return &Deployment{FrontEnds: 1, MissAnswers: true, MayOrder: true, MayCancel: true, MaxLaunches: 4, MaxPause: 0.5,
+		KeepWarm: 8, OrderWait: 10, RoundGap: 0.004, ColdShare: 0.2, WarmWithin: 15, FallFactor: 2.5, FallWindow: 1.5,
+		EventTypes: []EventType{{Name: "free", TargetTime: 1, MaxAge: 3}}}
+}
+
+func anyDeployment(rnd *rand.Rand) *Deployment {
+	d := plain()
+	d.FrontEnds = 1 + rnd.Intn(5)
+	d.MissAnswers, d.MayOrder = rnd.Intn(2) == 0, rnd.Intn(4) > 0
+	d.MayCancel, d.MayProbe, d.ProbeLoads = rnd.Intn(2) == 0, rnd.Intn(2) == 0, rnd.Intn(2) == 0
+	d.MaxLaunches = 1 + rnd.Intn(6)
+	d.MaxPause = float64(rnd.Intn(2))
+	if rnd.Intn(2) == 0 {
+		d.LoadWindow, d.LoadFree, d.LoadShare = 2, float64(rnd.Intn(3)), rnd.Float64()/4
+	}
+	d.EventTypes = append(d.EventTypes,
+		EventType{Name: "once", TargetTime: 0.5, MaxAge: 2, Repeat: AtMostOnce},
+		EventType{Name: "all", TargetTime: 0.8, MaxAge: 2, Repeat: Keyed, Remembered: 0.2 + rnd.Float64()},
+		EventType{Name: "zone", TargetTime: 1, MaxAge: 3, Repeat: Keyed, Reach: ReachZone, Remembered: 0.5},
+		EventType{Name: "cell", TargetTime: 1, MaxAge: 3, Repeat: Keyed, Reach: ReachCell, Remembered: 2})
+	return d
+}
+
+// The five rules, on generated deployments and fleets that fail, stall, restart, drain and vanish.
+func TestRulesHold(t *testing.T) {
+	day := func(seed int64) bool {
+		rnd := rand.New(rand.NewSource(seed))
+		w := newWorld(seed, anyDeployment(rnd), 1+rnd.Intn(8))
+		n, rate := 0, 0.1+rnd.Float64()*0.5
+		for step := range 1500 {
+			w.step(0.01)
+			if step < 1000 && rnd.Float64() < rate {
+				f := w.fes[rnd.Intn(1+rnd.Intn(len(w.fes)))]
+				kind := w.dep.EventTypes[rnd.Intn(len(w.dep.EventTypes))]
+				n++
+				f.take(EventID(fmt.Sprint(n)), FunctionID(fmt.Sprint(rnd.Intn(1+rnd.Intn(12)))), kind,
+					kind.MaxAge*max(rnd.Float64(), 0.01))
+			}
+			if m := w.wks[rnd.Intn(len(w.wks))]; rnd.Intn(60) == 0 {
+				switch rnd.Intn(8) {
+				case 0, 1, 2, 3:
+					m.mood = rnd.Intn(5)
+				case 4:
+					m.Phase = Draining
+				case 5:
+					m.Phase = Gone
+				default:
+					m.Phase, m.mood, m.Born, m.bornAt = Serving, 0, w.now, w.now
+					m.holds, m.sends = map[FunctionID]bool{}, nil
+				}
+				for _, f := range w.fes {
+					w.after(rnd.Float64(), func() { f.tell(false) })
+				}
+			}
+		}
+		for _, f := range w.fes {
+			for id, e := range f.evts {
+				if e.answered != 1 {
+					w.fault("event %s has %d answers", id, e.answered)
+				}
+			}
+			if len(f.r.evts)+len(f.r.marks)+len(f.r.todo)+len(f.r.parked) > 0 {
+				w.fault("state is left over: %d %d %d %d", len(f.r.evts), len(f.r.marks), len(f.r.todo), len(f.r.parked))
+			}
+		}
+		if w.bad != "" {
+			t.Logf("seed %d: %s", seed, w.bad)
+		}
+		return w.bad == ""
+	}
+	if err := quick.Check(day, &quick.Config{MaxCount: 150, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
+
+// drive plays a steady stream of one function for some seconds and counts what came of it.
+func drive(w *world, fns int, gap, span float64) (handled, other int) {
+	var all []*taken
+	for i := 0; float64(i)*gap < span; i++ {
+		w.step(gap)
+		id := EventID(fmt.Sprint(w.now, "-", i))
+		all = append(all, w.fes[i%len(w.fes)].take(id, FunctionID(fmt.Sprint("f", i%fns)), w.dep.EventTypes[0], 3))
+	}
+	for range 400 {
+		w.step(0.01)
+	}
+	for _, e := range all {
+		if e.handled {
+			handled++
+		} else {
+			other++
+		}
+	}
+	return handled, other
+}
+
+func (m *machine) launches(f *frontEnd) (n int) {
+	for _, e := range f.evts {
+		for _, l := range e.launches {
+			if l.wk == m {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Front ends that share nothing load a function on the same worker.
+func TestFrontEndsAgreeOnHomes(t *testing.T) {
+	d := plain()
+	d.FrontEnds = 3
+	w := newWorld(5, d, 8)
+	drive(w, 4, 0.1, 4)
+	homes := 0
+	for _, m := range w.wks {
+		homes += len(m.holds)
+	}
+	if homes > 6 || w.bad != "" {
+		t.Errorf("4 functions stand in %d places; %s", homes, w.bad)
+	}
+}
+
+// One old slow answer must not keep a copy out for good, though an event of ours is still there.
+func TestOldLatencyLapses(t *testing.T) {
+	w := newWorld(1, plain(), 4)
+	drive(w, 1, 0.2, 4)
+	r, f := w.fes[0].r, w.fes[0].r.fns["f0"]
+	p := &f.places[0]
+	p.out, p.recent, p.timedAt = 1, 3*f.median, r.now
+	if !r.slow(f, p) {
+		t.Error("a copy at three times the median is not slow")
+	}
+	if r.now += 1.1; r.slow(f, p) {
+		t.Error("a copy is still slow by an old answer")
+	}
+}
+
+// A silent worker loses its events to others long before they are too old, and is then left alone.
+func TestSilentWorkerIsLeft(t *testing.T) {
+	w := newWorld(2, plain(), 4)
+	drive(w, 6, 0.05, 4)
+	m := w.wks[0]
+	for _, o := range w.wks {
+		if len(o.holds) > len(m.holds) {
+			m = o
+		}
+	}
+	m.mood = 1
+	before := m.launches(w.fes[0])
+	handled, other := drive(w, 6, 0.05, 8)
+	if n := m.launches(w.fes[0]) - before; n > 24 || other > 8 {
+		t.Errorf("%d launches to the silent worker, %d of %d events not handled", n, other, handled+other)
+	}
+}
+
+// When all answer slowly or fail, no more than the stated part stands aside.
+func TestNotAllSetAside(t *testing.T) {
+	w := newWorld(3, plain(), 10)
+	drive(w, 20, 0.02, 3)
+	for _, m := range w.wks {
+		m.mood = 2
+	}
+	for i := range 100 {
+		w.fes[0].take(EventID(fmt.Sprint(i)), FunctionID(fmt.Sprint("f", i%20)), w.dep.EventTypes[0], 3)
+		w.step(0.02)
+		n := 0
+		for wk := range w.wks {
+			if w.fes[0].r.aside[wk] > w.now {
+				n++
+			}
+		}
+		if n > 4 {
+			t.Fatalf("%d of 10 workers set aside", n)
+		}
+	}
+}
+
+// In a rollout soon every worker is cold; they must still get work.
+func TestRolloutDoesNotStarve(t *testing.T) {
+	w := newWorld(4, plain(), 4)
+	drive(w, 4, 0.02, 6)
+	for _, m := range w.wks {
+		m.Born, m.bornAt, m.holds = w.now, w.now, map[FunctionID]bool{}
+	}
+	w.fes[0].tell(false)
+	if handled, other := drive(w, 4, 0.04, 8); handled < 100 || w.bad != "" {
+		t.Errorf("%d handled, %d not; %s", handled, other, w.bad)
+	}
+}
+
+// One late answer of an idle worker does not close it.
+func TestRoomStaysOpen(t *testing.T) {
+	w := newWorld(6, plain(), 1)
+	r := w.fes[0].r
+	for i := range 50 {
+		r.now += 0.1
+		r.resize(&event{wk: 0, sentAt: r.now + float64(i)}, true, false)
+	}
+	if r.room[0] < 2 {
+		t.Errorf("room %g", r.room[0])
+	}
+}
+
+// No worker at all, a function that no worker has room for, and events with hardly any time left.
+func TestNothingToBeDone(t *testing.T) {
+	for _, workers := range []int{0, 3} {
+		w := newWorld(7, plain(), workers)
+		for _, m := range w.wks {
+			m.mood = 3
+		}
+		f := w.fes[0]
+		for i := range 500 {
+			f.take(EventID(fmt.Sprint(i)), "big", w.dep.EventTypes[0], []float64{0.001, 3}[i%2])
+		}
+		for range 150 {
+			w.step(0.01)
+		}
+		for id, e := range f.evts {
+			if e.answered != 1 {
+				t.Errorf("%d workers: event %s has %d answers after half its time", workers, id, e.answered)
+			}
+		}
+		if w.bad != "" || len(f.ordered) > 20 {
+			t.Errorf("%d workers: %d orders; %s", workers, len(f.ordered), w.bad)
+		}
+	}
+}
--- /dev/null
+++ b/control/world_test.go
@@ -0,0 +1,297 @@
+package control
+
+import (
+	"fmt"
+	"math/rand"
+)
+
+// The world is a slow, plain fleet with several front ends on it. It shares no code with the module and
+// notes in bad the first thing that a rule forbids.
+type world struct {
+	rnd   *rand.Rand
+	dep   *Deployment
+	now   float64
+	fes   []*frontEnd
+	wks   []*machine
+	later []due
+	bad   string
+}
+
+type due struct {
+	at float64
+	do func()
+}
+
+type machine struct {
+	Worker
+	rate      float64 // events a second when warm
+	freeAt    float64
+	bornAt    float64
+	told      []Phase // what each front end was last told
+	sends     []float64
+	mood      int // 0 well, 1 silent, 2 failing, 3 turning away, 4 unreachable
+	holds     map[FunctionID]bool
+	toldBorn  []float64
+	firstTold bool
+}
+
+type taken struct {
+	Event
+	kind     EventType
+	due      float64
+	answered int
+	handled  bool
+	launches []*sent
+}
+
+type sent struct {
+	wk     *machine
+	at     float64
+	ended  bool
+	mayRun bool
+}
+
+type frontEnd struct {
+	w              *world
+	me             int
+	r              *Router
+	evts           map[EventID]*taken
+	takes, ordered []float64
+	dead           bool
+}
+
+func (w *world) fault(format string, args ...any) {
+	if w.bad == "" {
+		w.bad = fmt.Sprintf("%.3f: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) after(span float64, do func()) { w.later = append(w.later, due{w.now + span, do}) }
+
+func (w *world) machine(id WorkerID) *machine {
+	for _, m := range w.wks {
+		if m.ID == id {
+			return m
+		}
+	}
+	w.fault("unknown worker %s", id)
+	return w.wks[0]
+}
+
+// step plays all that is due by the next moment.
+func (w *world) step(span float64) {
+	w.now += span
+	for i := 0; i < len(w.later); i++ {
+		if w.later[i].at <= w.now {
+			do := w.later[i].do
+			w.later = append(w.later[:i], w.later[i+1:]...)
+			i--
+			do()
+		}
+	}
+}
+
+func (f *frontEnd) event(id EventID) *taken {
+	t := f.evts[id]
+	if t == nil {
+		f.w.fault("unknown event %s", id)
+		return &taken{}
+	}
+	if f.w.now > t.due+0.016+0.01 { // the world moves in steps of 0.01
+		f.w.fault("event %s is past its time by %.3f", id, f.w.now-t.due)
+	}
+	if t.answered > 0 {
+		f.w.fault("event %s was answered before", id)
+	}
+	return t
+}
+
+func (f *frontEnd) Launch(id EventID, wk WorkerID, limit float64) {
+	t, m := f.event(id), f.w.machine(wk)
+	if len(t.launches) >= f.w.dep.MaxLaunches || limit <= 0 {
+		f.w.fault("launch %d of %s with limit %g", len(t.launches), id, limit)
+	}
+	if m.told[f.me] != Serving {
+		f.w.fault("launch to a worker told to be %d", m.told[f.me])
+	}
+	var first *sent
+	for _, l := range t.launches {
+		if !l.ended {
+			f.w.fault("two launches of %s out", id)
+		}
+		if l.mayRun && first == nil {
+			first = l
+		}
+	}
+	if first != nil {
+		same := t.kind.Reach == ReachAll || first.wk.Zone == m.Zone && (t.kind.Reach == ReachZone || first.wk.Cell == m.Cell)
+		if t.kind.Repeat == AtMostOnce ||
+			t.kind.Repeat == Keyed && (!same || f.w.now > first.at+t.kind.Remembered) {
+			f.w.fault("%s launched again though it may have run", id)
+		}
+	}
+	l := &sent{wk: m, at: f.w.now, mayRun: true}
+	t.launches = append(t.launches, l)
+	m.push(f.w, m.toldBorn[f.me] == m.Born)
+	res, span := f.w.run(m, t.Function)
+	if span > limit {
+		res, span = TimedOut, limit
+	}
+	n := len(t.launches) - 1
+	f.w.after(span, func() { f.end(t, l, n, res) })
+}
+
+func (f *frontEnd) end(t *taken, l *sent, n int, res Result) {
+	if l.ended || f.dead {
+		return
+	}
+	l.ended = true
+	l.mayRun = res != TurnedAway && res != Unreachable && res != Missed && res != NeverSent
+	if res == Handled && t.answered == 0 {
+		t.answered, t.handled = 1, true
+	}
+	f.r.Ended(f.w.now, Ending{Event: t.ID, Worker: l.wk.ID, Launch: n, Result: res, Settled: t.answered > 0,
+		Took: f.w.now - l.at})
+}
+
+// push keeps the count of rule four, from all front ends that know of the start.
+func (m *machine) push(w *world, knows bool) {
+	if age := w.now - m.bornAt; m.bornAt > 0 && knows && age < w.dep.WarmWithin {
+		m.sends = append(m.sends, w.now)
+		n := 0
+		for _, at := range m.sends {
+			if at > w.now-w.dep.FallWindow {
+				n++
+			}
+		}
+		share := w.dep.ColdShare + (1-w.dep.ColdShare)*max(age-w.dep.FallWindow, 0)/w.dep.WarmWithin
+		if may := w.dep.FallFactor * share * w.dep.FallWindow * m.rate; float64(n) > max(may, float64(len(w.fes))) {
+			w.fault("cold worker pushed: %d launches where %.1f are borne", n, may)
+		}
+	}
+}
+
+func (w *world) run(m *machine, fn FunctionID) (Result, float64) {
+	switch m.mood {
+	case 1:
+		return TimedOut, 1e9
+	case 2:
+		return Failed, 0.01
+	case 3:
+		return TurnedAway, 0.01
+	case 4:
+		return Unreachable, 0.05
+	}
+	if m.Phase == Gone {
+		return Broken, 0.05
+	}
+	if w.dep.MissAnswers && !m.holds[fn] {
+		return Missed, 0.01
+	}
+	m.holds[fn] = true
+	m.freeAt = max(m.freeAt, w.now) + w.rnd.ExpFloat64()/m.rate
+	return Handled, m.freeAt - w.now + 0.005
+}
+
+func (f *frontEnd) Defer(id EventID, pause float64) {
+	t := f.event(id)
+	t.answered++
+	for _, l := range t.launches {
+		known := t.kind.Repeat == Keyed && t.kind.Reach == ReachAll && f.w.now <= l.at+t.kind.Remembered
+		if (l.mayRun || !l.ended) && t.kind.Repeat != Redeliverable && !known {
+			f.w.fault("%s deferred though it may have run", id)
+		}
+	}
+	if pause < 0 || pause > f.w.dep.MaxPause {
+		f.w.fault("pause %g", pause)
+	}
+}
+
+func (f *frontEnd) DeadLetter(id EventID) { f.event(id).answered++ }
+
+func (f *frontEnd) Cancel(id EventID, launch int) {
+	t := f.evts[id]
+	if !f.w.dep.MayCancel || t == nil || launch >= len(t.launches) {
+		f.w.fault("cancel of %s %d", id, launch)
+		return
+	}
+	f.w.after(0.01, func() { f.end(t, t.launches[launch], launch, Cancelled) })
+}
+
+func (f *frontEnd) Hold(wk WorkerID, fn FunctionID, copies int) {
+	m, d := f.w.machine(wk), f.w.dep
+	if m.told[f.me] != Serving || !d.MayOrder || copies < 1 || copies > 16 {
+		f.w.fault("order to %s", wk)
+	}
+	f.ordered = append(f.ordered, f.w.now)
+	in := func(times []float64) (n float64) {
+		for _, at := range times {
+			if at > f.w.now-d.LoadWindow {
+				n++
+			}
+		}
+		return n
+	}
+	if d.LoadWindow > 0 && in(f.ordered) > d.LoadFree+d.LoadShare*in(f.takes)+1e-9 {
+		f.w.fault("load order over the ration")
+	}
+	if m.mood == 1 {
+		return // an order that is never answered
+	}
+	f.w.after(0.3, func() {
+		if m.holds[fn] = m.mood == 0; m.holds[fn] {
+			f.r.Held(f.w.now, wk, fn, Handled, 1, 0.3)
+		} else {
+			f.r.Held(f.w.now, wk, fn, TurnedAway, 0, 0.3)
+		}
+	})
+}
+
+func (f *frontEnd) Probe(wk WorkerID) {
+	if !f.w.dep.MayProbe || f.w.machine(wk).told[f.me] == Gone {
+		f.w.fault("probe of %s", wk)
+	}
+	f.w.after(0.01, func() { f.r.Probed(f.w.now, wk, Handled, 0.01, Report{}) })
+}
+
+func (f *frontEnd) Wake(after float64, mark uint64) {
+	f.w.after(max(after, 0.001), func() { f.r.Woken(f.w.now, mark) })
+}
+
+func (f *frontEnd) Subscribe() {}
+
+// tell gives a front end the whole list, as it stands now.
+func (f *frontEnd) tell(first bool) {
+	var list []Worker
+	for _, m := range f.w.wks {
+		if m.told[f.me], m.toldBorn[f.me] = m.Phase, m.Born; m.Phase != Gone {
+			list = append(list, m.Worker)
+		}
+	}
+	f.r.List(f.w.now, true, first, list)
+}
+
+func (f *frontEnd) take(id EventID, fn FunctionID, kind EventType, left float64) *taken {
+	t := &taken{Event: Event{ID: id, Type: kind.Name, Function: fn, Left: left, Lanes: 2}, kind: kind, due: f.w.now + left}
+	f.evts[id] = t
+	f.takes = append(f.takes, f.w.now)
+	f.r.Event(f.w.now, t.Event)
+	return t
+}
+
+// newWorld makes a fleet of the given size that every front end has been told of.
+func newWorld(seed int64, dep *Deployment, workers int) *world {
+	w := &world{rnd: rand.New(rand.NewSource(seed)), dep: dep, now: 100}
+	for i := range workers {
+		m := &machine{Worker: Worker{ID: WorkerID(fmt.Sprint("w", i)), Zone: ZoneID(fmt.Sprint(i % 2)), Cell: i % 3, Size: 1},
+			rate: 20, holds: map[FunctionID]bool{}, told: make([]Phase, dep.FrontEnds), toldBorn: make([]float64, dep.FrontEnds)}
+		w.wks = append(w.wks, m)
+	}
+	for i := range dep.FrontEnds {
+		f := &frontEnd{w: w, me: i, evts: map[EventID]*taken{}}
+		f.r = New(dep, uint64(seed)<<20+uint64(i), f, w.now)
+		w.fes = append(w.fes, f)
+		f.tell(true)
+	}
+	return w
+}
