--- a/control/control.go
+++ b/control/control.go
@@ -164,13 +164,10 @@
 		if known && w.Born != r.born[i] {
 			// A process that started anew holds none of the copies that were seen there. Its strikes
 			// stay: one that dies again and again gets one launch at a time until it does well.
-			r.forget(i)
+			r.forget(i, true)
 			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, roomStart
 		}
 		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, w.Kind, w.Cell, w.Size, w.Born
-		if r.size[i] <= 0 {
-			r.size[i] = 1
-		}
 	}
 	for i := range named {
 		if full && !named[i] {
@@ -200,10 +197,11 @@
 	return r.index[id]
 }
 
-func (r *Router) forget(wk int) {
+// forget drops what is known of a worker's latencies, and of its copies too where they are lost.
+func (r *Router) forget(wk int, copies bool) {
 	for _, f := range r.every {
 		if p := f.at(wk); p != nil {
-			p.warm, p.slowSince, p.recent = false, 0, 0
+			p.warm, p.slowSince, p.recent = p.warm && !copies, 0, 0
 		}
 	}
 }
@@ -335,7 +333,7 @@
 			r.strike(wk)
 		}
 		if end.Result == Broken {
-			r.forget(wk)
+			r.forget(wk, true)
 		}
 	case TurnedAway:
 		proven = true
@@ -418,11 +416,7 @@
 		return false
 	}
 	r.aside[wk] = r.now + span
-	for _, f := range r.every {
-		if p := f.at(wk); p != nil {
-			p.slowSince, p.recent = 0, 0
-		}
-	}
+	r.forget(wk, false)
 	return true
 }
 
@@ -552,7 +546,7 @@
 	if heard < 0 {
 		heard = r.meanHeard
 	}
-	return (float64(len(r.flying[wk])+1) + heard) / (r.size[wk] * r.warmth(wk, r.now))
+	return (float64(len(r.flying[wk])+1) + heard) / (max(r.size[wk], 0.01) * r.warmth(wk, r.now))
 }
 
 // survey takes the means over the fleet, once for each moment.
@@ -658,7 +652,10 @@
 	return r.least(list[:min(len(list), 1+e.fn.out/e.fn.lanes)])
 }
 
-func (r *Router) launch(e *event, wk int, loading bool) {
+func (r *Router) launch(e *event, wk int, loading bool) bool {
+	if wk < 0 {
+		return false
+	}
 	e.wk, e.sentAt, e.out, e.loading = wk, r.now, true, loading
 	e.launches++
 	e.fn.out++
@@ -666,6 +663,7 @@
 	r.flying[wk] = append(r.flying[wk], e)
 	r.pushed[wk] = append(r.within(r.pushed[wk], r.dep.FallWindow), r.now)
 	r.host.Launch(e.ID, r.id[wk], e.due-r.now)
+	return true
 }
 
 // mayOrder keeps the ration of load orders, where one is stated.
@@ -693,77 +691,66 @@
 	r.survey()
 	for fired := true; fired; {
 		fired = false
-		for _, rule := range fleetRules {
-			fired = r.look && rule(r) || fired
+		for wk := 0; r.look && wk < len(r.id); wk++ {
+			for _, rule := range workerRules {
+				fired = rule(r, wk) || fired
+			}
 		}
 		r.look = fired
-		if len(r.todo) == 0 {
-			continue
-		}
-		e := r.todo[0]
-		r.todo = r.todo[1:]
-		e.parked = false
-		fired = true
-		for i := 0; !e.done && !eventRules[i](r, e); i++ {
+		if len(r.todo) > 0 {
+			e := r.todo[0]
+			r.todo = r.todo[1:]
+			e.parked, fired = false, true
+			for i := 0; !e.done && !eventRules[i](r, e); i++ {
+			}
 		}
 	}
 }
 
-// fleetRules concern workers and orders.
-var fleetRules = []func(*Router) bool{
+// workerRules are gone through for each worker when the clock or the list moves.
+var workerRules = []func(*Router, int) bool{
 	// The design's set-aside: a worker that is slow on several functions is left alone for a while.
-	func(r *Router) (fired bool) {
-		for wk := range r.id {
-			n := 0
-			for _, f := range r.every {
-				// Slow answers must span the time: after a single one nothing more may have been sent.
-				if p := f.at(wk); p != nil && p.slowSince > 0 && p.timedAt-p.slowSince >= slowFor {
-					n++
-				}
-			}
-			if n >= slowCopies && r.aside[wk] <= r.now && r.leave(wk, asideFor) {
-				fired = true
+	func(r *Router, wk int) bool {
+		n := 0
+		for _, f := range r.every {
+			// Slow answers must span the time: after a single one nothing more may have been sent.
+			if p := f.at(wk); p != nil && p.slowSince > 0 && p.timedAt-p.slowSince >= slowFor {
+				n++
 			}
 		}
-		return fired
+		return n >= slowCopies && r.aside[wk] <= r.now && r.leave(wk, asideFor)
 	},
 	// A silent worker must not hold events to their end while another could still handle them. Waits
 	// are added up in medians, so that one heavy event on a live worker is not taken for silence.
-	func(r *Router) (fired bool) {
-		for wk := range r.id {
-			waits, longest := 0.0, 0.0
-			for _, e := range r.flying[wk] {
-				if e.sentAt > r.answered[wk] && !e.loading && !e.streams {
-					waits += (r.now - e.sentAt) / max(e.fn.median, muteLeast/muteFor)
-					longest = max(longest, r.now-e.sentAt)
-				}
-			}
-			if waits < muteFor || longest < muteLeast || r.aside[wk] > r.now {
-				continue
+	func(r *Router, wk int) bool {
+		waits, longest := 0.0, 0.0
+		for _, e := range r.flying[wk] {
+			if e.sentAt > r.answered[wk] && !e.loading && !e.streams {
+				waits += (r.now - e.sentAt) / max(e.fn.median, muteLeast/muteFor)
+				longest = max(longest, r.now-e.sentAt)
 			}
-			// From here on only new silence counts.
-			r.answered[wk], r.strikes[wk] = r.now, max(r.strikes[wk], 1)
-			r.strike(wk)
-			fired = true
-			for _, e := range r.flying[wk] {
-				if r.dep.MayCancel && !e.streams && e.kind.Repeat == Redeliverable && e.launches < r.dep.MaxLaunches {
-					r.host.Cancel(e.ID, e.launches-1)
-				}
+		}
+		if waits < muteFor || longest < muteLeast || r.aside[wk] > r.now {
+			return false
+		}
+		// From here on only new silence counts.
+		r.answered[wk], r.strikes[wk] = r.now, max(r.strikes[wk], 1)
+		r.strike(wk)
+		for _, e := range r.flying[wk] {
+			if r.dep.MayCancel && !e.streams && e.kind.Repeat == Redeliverable && e.launches < r.dep.MaxLaunches {
+				r.host.Cancel(e.ID, e.launches-1)
 			}
 		}
-		return fired
+		return true
 	},
 	// A load on a worker that drained, left or keeps silent is not waited for.
-	func(r *Router) (fired bool) {
+	func(r *Router, wk int) (fired bool) {
 		for _, f := range r.every {
-			if f.order < 0 {
-				continue
-			}
-			lost := r.now-f.orderedAt > limitLoads*max(f.load, 1)
+			lost := f.order == wk && r.now-f.orderedAt > limitLoads*max(f.load, 1)
 			if lost {
-				r.strike(f.order)
+				r.strike(wk)
 			}
-			if lost || r.phase[f.order] != Serving {
+			if lost || f.order == wk && r.phase[wk] != Serving {
 				r.follow(f)
 				fired = true
 			}
@@ -784,13 +771,7 @@
 		return spent
 	},
 	// The ordinary path: the least-loaded warm copy that is not overloaded.
-	func(r *Router, e *event) bool {
-		wk := r.bestWarm(e, true)
-		if wk >= 0 {
-			r.launch(e, wk, false)
-		}
-		return wk >= 0
-	},
+	func(r *Router, e *event) bool { return r.launch(e, r.bestWarm(e, true), false) },
 	// None passes: one load at a time for each function, on the least-utilized worker.
 	func(r *Router, e *event) bool {
 		if e.fn.order >= 0 || e.waits >= waitsMost || !r.mayOrder() || r.now-e.fn.orderedAt < moreEvery && r.standing(e.fn) {
@@ -808,13 +789,7 @@
 		return false
 	},
 	// Meanwhile the least-loaded warm copy takes it, overloaded or not.
-	func(r *Router, e *event) bool {
-		wk := r.bestWarm(e, false)
-		if wk >= 0 {
-			r.launch(e, wk, false)
-		}
-		return wk >= 0
-	},
+	func(r *Router, e *event) bool { return r.launch(e, r.bestWarm(e, false), false) },
 	// Else the loading worker, once the order has surely reached it; else it waits for the answer.
 	func(r *Router, e *event) bool {
 		wk := e.fn.order
@@ -822,22 +797,14 @@
 			return false
 		}
 		if r.now-e.fn.orderedAt > 4*r.dep.RoundGap && r.may(e, wk) && r.fit(wk) && wk != e.wk {
-			r.launch(e, wk, true)
-		} else {
-			e.fn.wait(e)
+			return r.launch(e, wk, true)
 		}
+		e.fn.wait(e)
 		return true
 	},
 	// Without orders a worker loads what it is sent, where the deployment's workers do that.
 	func(r *Router, e *event) bool {
-		if r.dep.MissAnswers || r.mayOrder() {
-			return false
-		}
-		wk := r.loadSite(e)
-		if wk >= 0 {
-			r.launch(e, wk, true)
-		}
-		return wk >= 0
+		return !r.dep.MissAnswers && !r.mayOrder() && r.launch(e, r.loadSite(e), true)
 	},
 	// Nobody has room: it waits here while it may yet be in time, against queues that only make late
 	// answers; then it is given up at once.
