Count a broken connection as one failure, not as lost copies

A load on a live worker is no longer given up when the store is slow. Guards against link trouble and slow stores; a process that died and is not yet listed anew costs a few more events until its share of failures tells.

--- a/control/control.go
+++ b/control/control.go
@@ -329,12 +329,9 @@
 	case Failed, Broken, Unreachable:
 		proven = end.Result == Unreachable
 		r.fails[wk] += failPart * (1 - r.fails[wk])
-		if end.Result != Failed || r.fails[wk] > failMost {
+		if r.fails[wk] > failMost {
 			r.strike(wk)
 		}
-		if end.Result == Broken {
-			r.forget(wk, true)
-		}
 	case TurnedAway:
 		proven = true
 		r.noRoom[wk] = now + noRoomFor
@@ -400,13 +397,11 @@
 	}
 }
 
-// strike sets a worker aside that lost, refused or broke events. The second in a row is believed,
-// each further one doubles the time; one launch at a time then tries it until it has handled some.
+// strike sets a worker aside that loses, fails or breaks events, for twice as long each time; one launch
+// at a time then tries it until it has handled some.
 func (r *Router) strike(wk int) {
+	r.leave(wk, min(asideFor*float64(int(1)<<min(r.strikes[wk], 8)), asideMost))
 	r.strikes[wk]++
-	if n := r.strikes[wk]; n >= 2 {
-		r.leave(wk, min(asideFor*float64(int(1)<<min(n-2, 8)), asideMost))
-	}
 }
 
 // leave sets a worker aside, unless so many are that the trouble can't be theirs.
@@ -433,9 +428,8 @@
 		p.warm, p.seen = true, now
 	case res == TurnedAway:
 		r.noRoom[wk] = now + noRoomFor
-	case res == Unreachable || res == Broken || res == TimedOut:
-		r.strike(wk)
 	}
+	r.answered[wk] = now
 	if f.order == wk {
 		r.follow(f)
 	}
@@ -575,7 +569,7 @@
 // fit tells whether a worker is in good health; one with strikes gets one launch at a time.
 func (r *Router) fit(wk int) bool {
 	held := len(r.flying[wk])
-	return r.aside[wk] <= r.now && float64(held) < r.room[wk] && (r.strikes[wk] < 2 || held == 0)
+	return r.aside[wk] <= r.now && float64(held) < r.room[wk] && (r.strikes[wk] < 1 || held == 0)
 }
 
 func hash(s string) uint64 {
@@ -734,7 +728,7 @@
 			return false
 		}
 		// From here on only new silence counts.
-		r.answered[wk], r.strikes[wk] = r.now, max(r.strikes[wk], 1)
+		r.answered[wk] = r.now
 		r.strike(wk)
 		for _, e := range r.flying[wk] {
 			if r.dep.MayCancel && !e.streams && e.kind.Repeat == Redeliverable && e.launches < r.dep.MaxLaunches {
@@ -743,10 +737,11 @@
 		}
 		return true
 	},
-	// A load on a worker that drained, left or keeps silent is not waited for.
+	// A load on a worker that drained, left or keeps silent is not waited for. One that answers other
+	// things meanwhile has a slow store behind it, and one more load elsewhere would crowd that more.
 	func(r *Router, wk int) (fired bool) {
 		for _, f := range r.every {
-			lost := f.order == wk && r.now-f.orderedAt > limitLoads*max(f.load, 1)
+			lost := f.order == wk && r.now-max(f.orderedAt, r.answered[wk]) > limitLoads*max(f.load, 1)
 			if lost {
 				r.strike(wk)
 			}
