--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,8 @@
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
 	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
+	probeEvery  = 1.0  // pause between probes of a worker, where only they bring reports
+	busyEvents  = 10.0 // events that a use of one stands for beside our own
 	tick        = 0.25 // pause between looks at the clock
 	rateSpan    = 5.0  // span over which carried rates are averaged
 	noRoomFor   = 0.5  // a worker that had no room is asked to load again after this
@@ -107,15 +109,16 @@
 	phase    []Phase
 	size     []float64
 	born     []float64
-	flying   [][]*event  // own events in flight
-	answered []float64   // newest answer
-	room     []float64   // own events that it may hold
-	cutAt    []float64   // when that was last cut
-	heard    []float64   // events held there by its newest report, less our own; -1 unheard
-	aside    []float64   // set aside until
-	strikes  []int       // troubles in a row
-	fails    []float64   // share of late failures
-	noRoom   []float64   // no load fits before
+	flying   [][]*event // own events in flight
+	answered []float64  // newest answer
+	room     []float64  // own events that it may hold
+	cutAt    []float64  // when that was last cut
+	heard    []float64  // events held there by its newest report, less our own; -1 unheard
+	aside    []float64  // set aside until
+	strikes  []int      // troubles in a row
+	fails    []float64  // share of late failures
+	noRoom   []float64  // no load fits before
+	probed   []float64
 	pushed   [][]float64 // launches of the current fall window, also from before a start was told
 	handled  []float64   // own events handled since the last tick
 	carried  []float64   // own events handled each second, and the most of that while warm
@@ -191,7 +194,7 @@
 	r.phase, r.flying, r.strikes = append(r.phase, Serving), append(r.flying, nil), append(r.strikes, 0)
 	r.room, r.heard, r.pushed = append(r.room, roomStart), append(r.heard, -1), append(r.pushed, nil)
 	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.aside, &r.fails, &r.noRoom,
-		&r.carried, &r.most, &r.handled} {
+		&r.probed, &r.carried, &r.most, &r.handled} {
 		*figures = append(*figures, 0)
 	}
 	return r.index[id]
@@ -293,6 +296,9 @@
 }
 
 func (r *Router) reported(wk int, rep Report) {
+	if rep.Known&HasBusy != 0 {
+		r.heard[wk] = rep.Busy * busyEvents
+	}
 	if rep.Known&(HasRunning|HasWaiting) != 0 {
 		r.heard[wk] = max(rep.Running+rep.Waiting-float64(len(r.flying[wk])), 0)
 	}
@@ -469,6 +475,12 @@
 
 // age does what only the clock brings about.
 func (r *Router) age() {
+	for wk := range r.id {
+		if r.dep.MayProbe && r.dep.ProbeLoads && r.phase[wk] == Serving && r.now >= r.probed[wk]+probeEvery {
+			r.probed[wk] = r.now
+			r.host.Probe(r.id[wk])
+		}
+	}
 	span := max(r.now-r.lastTick, tick/2)
 	r.lastTick = r.now
 	for wk := range r.id {
