--- a/control/control.go
+++ b/control/control.go
@@ -27,7 +27,7 @@
 	muteFor     = 20.0 // medians waited in all, with no answer since, before a worker counts as silent
 	muteLeast   = 0.6  // but not sooner, against a short pause
 	waitsMost   = 3    // load orders that an event follows, against one that fits nowhere
-	moreEvery   = 1.0  // pause before one more copy beside others, against a jam that sows copies everywhere
+	moreEvery   = 3.0  // pause before one more copy beside others, against a jam that sows copies everywhere
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
 	roomStart   = 6.0  // own events that a worker may hold at first
 	roomLeast   = 2.0  // and at the least, so that its recovery is seen
