--- a/control/control.go
+++ b/control/control.go
@@ -37,7 +37,7 @@
 	roomEarly   = 0.5
 	roomLate    = 0.8
 	unparkEach  = 2    // waiting events decided anew at each ending
-	patience    = 0.35 // part of the target time that an event may wait here for room
+	patience    = 0.15 // part of the target time that an event may wait here for room
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
 	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
