--- a/control/control.go
+++ b/control/control.go
@@ -36,8 +36,6 @@
 	roomCut     = 0.75 // kept after an answer past roomLate of the target time
 	roomEarly   = 0.5
 	roomLate    = 0.8
-	unparkEach  = 2    // waiting events decided anew at each ending
-	patience    = 0.15 // part of the target time that an event may wait here for room
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
 	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
@@ -59,7 +57,6 @@
 	wk                 int // worker of the newest launch, -1 before
 	out, streams, done bool
 	loading            bool // sent to wait for a load
-	parked             bool // waits here for room
 	mayRun             bool // some launch may have run; when and where the first such went:
 	runAt              float64
 	runZone            ZoneID
@@ -88,18 +85,17 @@
 
 // Router decides for one front end.
 type Router struct {
-	dep    *Deployment
-	host   Host
-	now    float64
-	x, c   uint32
-	mark   uint64
-	evts   map[EventID]*event
-	marks  map[uint64]*event
-	todo   []*event // to be decided
-	parked []*event
-	fns    map[FunctionID]*function
-	every  []*function
-	index  map[WorkerID]int
+	dep   *Deployment
+	host  Host
+	now   float64
+	x, c  uint32
+	mark  uint64
+	evts  map[EventID]*event
+	marks map[uint64]*event
+	todo  []*event // to be decided
+	fns   map[FunctionID]*function
+	every []*function
+	index map[WorkerID]int
 
 	id       []WorkerID
 	hash     []uint64
@@ -276,11 +272,10 @@
 	case mark == 0:
 		r.host.Wake(tick, 0)
 		r.age()
-		r.unpark(len(r.parked))
 		r.look = true
 	case mark == 1:
 		r.host.Subscribe()
-	case e != nil && !e.out && (e.parked || now >= e.due-2*r.dep.RoundGap):
+	case e != nil && !e.out && now >= e.due-2*r.dep.RoundGap:
 		r.giveUp(e)
 	}
 	r.settle()
@@ -358,18 +353,9 @@
 	default:
 		r.todo = append(r.todo, e)
 	}
-	r.unpark(unparkEach)
 	r.settle()
 }
 
-// unpark has the longest waiting events decided anew; all of them at each ending would cost more
-// time than there is when a crowd waits.
-func (r *Router) unpark(n int) {
-	n = min(n, len(r.parked))
-	r.todo = append(r.todo, r.parked[:n]...)
-	r.parked = r.parked[n:]
-}
-
 // resize moves the number of own events that a worker may hold, as its answers come late or early.
 // It guards against every cause that makes a worker do less than its fellows; a cut counts once for
 // all that was sent before it, against one jam being punished many times.
@@ -706,7 +692,7 @@
 		if len(r.todo) > 0 {
 			e := r.todo[0]
 			r.todo = r.todo[1:]
-			e.parked, fired = false, true
+			fired = true
 			for i := 0; !e.done && !eventRules[i](r, e); i++ {
 			}
 		}
@@ -813,17 +799,10 @@
 	func(r *Router, e *event) bool {
 		return !r.dep.MissAnswers && !r.mayOrder() && r.launch(e, r.loadSite(e), true)
 	},
-	// Nobody has room: it waits here while it may yet be in time, against queues that only make late
-	// answers; then it is given up at once.
+	// Nobody has room. A queue here would only make all of it late; told at once, a client can come
+	// back in time.
 	func(r *Router, e *event) bool {
-		left := e.at + patience*e.kind.TargetTime - r.now
-		if left <= 0 {
-			r.giveUp(e)
-			return true
-		}
-		e.parked = true
-		r.parked = append(r.parked, e)
-		r.host.Wake(left, e.mark)
+		r.giveUp(e)
 		return true
 	},
 }
