--- a/control/control.go
+++ b/control/control.go
@@ -333,6 +333,9 @@
 		if r.fails[wk] > failMost {
 			r.strike(wk)
 		}
+	case TimedOut:
+		// No answer at all is the latest of answers; unheeded, a crowded worker stays as crowded as it is.
+		r.resize(e, end.Took > roomLate*e.kind.TargetTime, false)
 	case TurnedAway:
 		proven = true
 		r.noRoom[wk] = now + noRoomFor
