--- a/control/control.go
+++ b/control/control.go
@@ -30,7 +30,7 @@
 	moreEvery   = 3.0  // pause before one more copy beside others, against a jam that sows copies everywhere
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
 	roomStart   = 6.0  // own events that a worker may hold at first
-	roomLeast   = 2.0  // and at the least, so that its recovery is seen
+	roomLeast   = 1.0  // and at the least, so that its recovery is seen
 	roomMost    = 64.0 // and at the most
 	roomUp      = 0.2  // added by an answer well within the target time while the room is used
 	roomCut     = 0.75 // kept after an answer past roomLate of the target time
@@ -335,7 +335,7 @@
 		}
 	case TimedOut:
 		// No answer at all is the latest of answers; unheeded, a crowded worker stays as crowded as it is.
-		r.resize(e, end.Took > roomLate*e.kind.TargetTime, false)
+		r.resize(e, !e.loading && end.Took > roomLate*e.kind.TargetTime, false)
 	case TurnedAway:
 		proven = true
 		r.noRoom[wk] = now + noRoomFor
@@ -361,11 +361,12 @@
 
 // resize moves the number of own events that a worker may hold, as its answers come late or early.
 // It guards against every cause that makes a worker do less than its fellows; a cut counts once for
-// all that was sent before it, against one jam being punished many times.
+// all that was sent before it, against one jam being punished many times, and one event alone tells
+// nothing of a queue.
 func (r *Router) resize(e *event, late, early bool) {
 	wk := e.wk
 	switch held := float64(len(r.flying[wk])) + 1; {
-	case late && e.sentAt > r.cutAt[wk]:
+	case late && held > 1 && e.sentAt > r.cutAt[wk]:
 		r.room[wk] = max(min(r.room[wk], held)*roomCut, roomLeast)
 		r.cutAt[wk] = r.now
 	case early && held > r.room[wk]/2:
