--- a/control/control.go
+++ b/control/control.go
@@ -570,7 +570,12 @@
 
 // fit tells whether a worker is in good health; one with strikes gets one launch at a time.
 func (r *Router) fit(wk int) bool {
-	held := len(r.flying[wk])
+	held := 0
+	for _, e := range r.flying[wk] {
+		if !e.loading { // against a slow store that would close its workers to their warm copies
+			held++
+		}
+	}
 	return r.aside[wk] <= r.now && float64(held) < r.room[wk] && (r.strikes[wk] < 1 || held == 0)
 }
 
