--- a/control/control.go
+++ b/control/control.go
@@ -29,13 +29,13 @@
 	waitsMost   = 3    // load orders that an event follows, against one that fits nowhere
 	moreEvery   = 3.0  // pause before one more copy beside others, against a jam that sows copies everywhere
 	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
-	roomStart   = 6.0  // own events that a worker may hold at first
+	roomStart   = 4.0  // own events that a worker may hold at first
 	roomLeast   = 1.0  // and at the least, so that its recovery is seen
 	roomMost    = 64.0 // and at the most
-	roomUp      = 0.2  // added by an answer well within the target time while the room is used
+	roomUp      = 0.1  // added by an answer well within the target time while the room is used
 	roomCut     = 0.75 // kept after an answer past roomLate of the target time
 	roomEarly   = 0.5
-	roomLate    = 0.8
+	roomLate    = 0.6
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
 	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
