--- a/control/control.go
+++ b/control/control.go
@@ -38,7 +38,7 @@
 	roomLate    = 0.6
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
-	coldPart    = 0.6  // part of the cold budget that is used, against rates that were misjudged
+	coldPart    = 0.9  // part of the cold budget that is used, against rates that were misjudged
 	probeEvery  = 1.0  // pause between probes of a worker, where only they bring reports
 	busyEvents  = 10.0 // events that a use of one stands for beside our own
 	tick        = 0.25 // pause between looks at the clock
