--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,7 @@
 	asideFor    = 2.0  // for so long; troubles of other kinds double it up to asideMost
 	asideMost   = 8.0  // against asking a dead worker too often, yet finding it soon when it is back
 	asidePart   = 0.4  // of the serving workers at most: past it all are slow, and leaving them harms
+	slowPart    = 0.15 // the same for slow ones: a crowd is slow too, and moves on to whoever is left
 	recentPart  = 0.2  // weight of the newest latency, low against single heavy events
 	medianStep  = 1.05 // step of the running median, against outliers that a mean would follow
 	failPart    = 0.25 // weight of the newest outcome in a worker's share of failures
@@ -396,14 +397,14 @@
 // strike sets a worker aside that loses, fails or breaks events, for twice as long each time; one launch
 // at a time then tries it until it has handled some.
 func (r *Router) strike(wk int) {
-	r.leave(wk, min(asideFor*float64(int(1)<<min(r.strikes[wk], 8)), asideMost))
+	r.leave(wk, min(asideFor*float64(int(1)<<min(r.strikes[wk], 8)), asideMost), asidePart)
 	r.strikes[wk]++
 }
 
 // leave sets a worker aside, unless so many are that the trouble can't be theirs.
-func (r *Router) leave(wk int, span float64) bool {
+func (r *Router) leave(wk int, span, most float64) bool {
 	kept := r.mean(func(k int) (float64, bool) { return min(max((r.aside[k]-r.now)*1e9, 0), 1), true })
-	if kept >= asidePart {
+	if kept >= most {
 		return false
 	}
 	r.aside[wk] = r.now + span
@@ -719,7 +720,7 @@
 				n++
 			}
 		}
-		return n >= slowCopies && r.aside[wk] <= r.now && r.leave(wk, asideFor)
+		return n >= slowCopies && r.aside[wk] <= r.now && r.leave(wk, asideFor, slowPart)
 	},
 	// A silent worker must not hold events to their end while another could still handle them. Waits
 	// are added up in medians, so that one heavy event on a live worker is not taken for silence.
