Space loads by how many copies believed warm are found gone

A full fleet pushes out idle copies that others need; finding them gone is the only sign of it that every front end sees. Harm: a mass release looks the same for a while.

--- a/control/control.go
+++ b/control/control.go
@@ -13,28 +13,29 @@
 // docs/design.md; a comment at each rule or figure says what it guards against.
 
 const (
-	overLanes   = 2.0  // own events in flight over lanes: past it a copy is overloaded
-	overMedian  = 2.0  // recent latency over the function's median: past it a copy is slow
-	slowFor     = 1.0  // this long slow
-	slowCopies  = 2    // on this many functions: the worker is set aside
-	asideFor    = 2.0  // for so long; troubles of other kinds double it up to asideMost
-	asideMost   = 8.0  // against asking a dead worker too often, yet finding it soon when it is back
-	asidePart   = 0.4  // of the serving workers at most: past it all are slow, and leaving them harms
-	slowPart    = 0.15 // the same for slow ones: a crowd is slow too, and moves on to whoever is left
-	recentPart  = 0.2  // weight of the newest latency, low against single heavy events
-	medianStep  = 1.05 // step of the running median, against outliers that a mean would follow
-	failPart    = 0.25 // weight of the newest outcome in a worker's share of failures
-	failMost    = 0.4  // share of failures past which a worker answers fast but wrong
-	muteFor     = 20.0 // medians waited in all, with no answer since, before a worker counts as silent
-	muteLeast   = 0.6  // but not sooner, against a short pause
-	waitsMost   = 3    // load orders that an event follows, against one that fits nowhere
-	moreEvery   = 3.0  // pause before one more copy beside others, against a jam that sows copies everywhere
-	limitLoads  = 3.0  // a load may take this multiple of its usual time before it counts as stuck
-	roomStart   = 4.0  // own events that a worker may hold at first
-	roomLeast   = 1.0  // and at the least, so that its recovery is seen
-	roomMost    = 64.0 // and at the most
-	roomUp      = 0.1  // added by an answer well within the target time while the room is used
-	roomCut     = 0.75 // kept after an answer past roomLate of the target time
+	overLanes   = 2.0   // own events in flight over lanes: past it a copy is overloaded
+	overMedian  = 2.0   // recent latency over the function's median: past it a copy is slow
+	slowFor     = 1.0   // this long slow
+	slowCopies  = 2     // on this many functions: the worker is set aside
+	asideFor    = 2.0   // for so long; troubles of other kinds double it up to asideMost
+	asideMost   = 8.0   // against asking a dead worker too often, yet finding it soon when it is back
+	asidePart   = 0.4   // of the serving workers at most: past it all are slow, and leaving them harms
+	slowPart    = 0.15  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
+	recentPart  = 0.2   // weight of the newest latency, low against single heavy events
+	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
+	failPart    = 0.25  // weight of the newest outcome in a worker's share of failures
+	failMost    = 0.4   // share of failures past which a worker answers fast but wrong
+	muteFor     = 20.0  // medians waited in all, with no answer since, before a worker counts as silent
+	muteLeast   = 0.6   // but not sooner, against a short pause
+	waitsMost   = 3     // load orders that an event follows, against one that fits nowhere
+	moreEvery   = 2.5   // pause before one more copy beside others, against a jam that sows copies everywhere
+	moreLost    = 120.0 // and so much more for the share of copies believed warm that were gone
+	lostPart    = 0.02  // weight of the newest in that share
+	limitLoads  = 3.0   // a load may take this multiple of its usual time before it counts as stuck
+	roomStart   = 4.0   // own events that a worker may hold at first
+	roomLeast   = 1.0   // and at the least, so that its recovery is seen
+	roomUp      = 0.1   // added by an answer well within the target time while the room is used
+	roomCut     = 0.75  // kept after an answer past roomLate of the target time
 	roomEarly   = 0.5
 	roomLate    = 0.6
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
@@ -122,10 +123,9 @@
 	most     []float64
 
 	taken, ordered              []float64 // events taken and loads ordered within the load window
-	lastTick                    float64
+	lastTick, lost              float64
 	look                        bool // the fleet rules are due
 	meanAt, meanLoad, meanHeard float64
-	scratch                     []int
 }
 
 // New makes the module of one front end.
@@ -179,10 +179,7 @@
 }
 
 // ListFailed asks again soon, against going on with a list that nobody updates.
-func (r *Router) ListFailed(now float64) {
-	r.now = now
-	r.host.Wake(asideFor, 1)
-}
+func (r *Router) ListFailed(now float64) { r.host.Wake(asideFor, 1) }
 
 func (r *Router) admit(id WorkerID) int {
 	r.index[id] = len(r.id)
@@ -317,6 +314,10 @@
 	if end.Result != TimedOut && end.Result != Cancelled {
 		r.answered[wk] = now
 	}
+	if end.Result == Missed || end.Warmth == BeganLoad {
+		r.lost += lostPart
+	}
+	r.lost *= 1 - lostPart
 	proven := false
 	switch end.Result {
 	case Handled:
@@ -334,8 +335,7 @@
 		if r.fails[wk] > failMost {
 			r.strike(wk)
 		}
-	case TimedOut:
-		// No answer at all is the latest of answers; unheeded, a crowded worker stays as crowded as it is.
+	case TimedOut: // no answer is the latest of answers; unheeded, a crowded worker stays crowded
 		r.resize(e, !e.loading && end.Took > roomLate*e.kind.TargetTime, false)
 	case TurnedAway:
 		proven = true
@@ -361,9 +361,8 @@
 }
 
 // resize moves the number of own events that a worker may hold, as its answers come late or early.
-// It guards against every cause that makes a worker do less than its fellows; a cut counts once for
-// all that was sent before it, against one jam being punished many times, and one event alone tells
-// nothing of a queue.
+// It guards against all that makes a worker do less than its fellows; a cut counts once for all that
+// was sent before it, and one event alone tells nothing of a queue.
 func (r *Router) resize(e *event, late, early bool) {
 	wk := e.wk
 	switch held := float64(len(r.flying[wk])) + 1; {
@@ -371,7 +370,7 @@
 		r.room[wk] = max(min(r.room[wk], held)*roomCut, roomLeast)
 		r.cutAt[wk] = r.now
 	case early && held > r.room[wk]/2:
-		r.room[wk] = min(r.room[wk]+roomUp, roomMost)
+		r.room[wk] += roomUp
 	}
 }
 
@@ -394,8 +393,7 @@
 	}
 }
 
-// strike sets a worker aside that loses, fails or breaks events, for twice as long each time; one launch
-// at a time then tries it until it has handled some.
+// strike sets a bad worker aside, for twice as long each time; one launch at a time then tries it.
 func (r *Router) strike(wk int) {
 	r.leave(wk, min(asideFor*float64(int(1)<<min(r.strikes[wk], 8)), asideMost), asidePart)
 	r.strikes[wk]++
@@ -564,8 +562,8 @@
 	if !e.mayRun || e.kind.Repeat == Redeliverable {
 		return true
 	}
-	group := e.kind.Reach == ReachAll || r.zone[wk] == e.runZone &&
-		(e.kind.Reach == ReachZone || r.cell[wk] == e.runCell)
+	zone := r.zone[wk] == e.runZone
+	group := e.kind.Reach == ReachAll || zone && (e.kind.Reach == ReachZone || r.cell[wk] == e.runCell)
 	return group && e.kind.Repeat == Keyed && r.now < e.runAt+e.kind.Remembered
 }
 
@@ -601,14 +599,13 @@
 
 // ranked lists the workers that pass, by rank.
 func (r *Router) ranked(e *event, pass func(wk int, p *place) bool) []int {
-	list := r.scratch[:0]
+	var list []int
 	for wk := range r.id {
 		if r.fit(wk) && r.may(e, wk) && pass(wk, e.fn.at(wk)) {
 			list = append(list, wk)
 		}
 	}
 	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(r.rank(e, b), r.rank(e, a)) })
-	r.scratch = list
 	return list
 }
 
@@ -777,7 +774,8 @@
 	func(r *Router, e *event) bool { return r.launch(e, r.bestWarm(e, true), false) },
 	// None passes: one load at a time for each function, on the least-utilized worker.
 	func(r *Router, e *event) bool {
-		if e.fn.order >= 0 || e.waits >= waitsMost || !r.mayOrder() || r.now-e.fn.orderedAt < moreEvery && r.standing(e.fn) {
+		soon := r.now-e.fn.orderedAt < moreEvery+moreLost*r.lost && r.standing(e.fn)
+		if e.fn.order >= 0 || e.waits >= waitsMost || soon || !r.mayOrder() {
 			return false
 		}
 		if wk := r.loadSite(e); wk >= 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -8,8 +8,8 @@
 )
 
 func plain() *Deployment {
-	return &Deployment{FrontEnds: 1, MissAnswers: true, MayOrder: true, MayCancel: true, MaxLaunches: 4, MaxPause: 0.5,
-		KeepWarm: 8, OrderWait: 10, RoundGap: 0.004, ColdShare: 0.2, WarmWithin: 15, FallFactor: 2.5, FallWindow: 1.5,
+	return &Deployment{FrontEnds: 1, MissAnswers: true, MayOrder: true, MayCancel: true, MaxLaunches: 4,
+		MaxPause: 0.5, KeepWarm: 8, RoundGap: 0.004, ColdShare: 0.2, WarmWithin: 15, FallFactor: 2.5, FallWindow: 1.5,
 		EventTypes: []EventType{{Name: "free", TargetTime: 1, MaxAge: 3}}}
 }
 
@@ -235,3 +235,56 @@
 		}
 	}
 }
+
+// Waits for a load take no room: ten of them once closed a worker to its warm copies.
+func TestWaitsForLoadsTakeNoRoom(t *testing.T) {
+	w := newWorld(8, plain(), 1)
+	r := w.fes[0].r
+	for range 20 {
+		r.flying[0] = append(r.flying[0], &event{loading: true})
+	}
+	if !r.fit(0) {
+		t.Error("a worker where events wait for a load takes no others")
+	}
+	for range 20 {
+		r.flying[0] = append(r.flying[0], &event{})
+	}
+	if r.fit(0) {
+		t.Error("a worker far past its room takes more")
+	}
+}
+
+// A broken connection says nothing of the copies there, and a slow store nothing of its workers.
+func TestBrokenLinksAndSlowStores(t *testing.T) {
+	w := newWorld(9, plain(), 3)
+	drive(w, 1, 0.2, 3)
+	f := w.fes[0]
+	r, fn := f.r, f.r.fns["f0"]
+	e := f.take("x", "f0", w.dep.EventTypes[0], 3)
+	f.end(e, e.launches[0], 0, Broken)
+	if !r.standing(fn) {
+		t.Error("a copy is forgotten for a broken connection")
+	}
+	fn.order, fn.orderedAt, r.answered[1] = 1, r.now-60, r.now
+	if workerRules[2](r, 1); fn.order != 1 {
+		t.Error("a load on a live worker is given up")
+	}
+	r.answered[1] = r.now - 60
+	if workerRules[2](r, 1); fn.order == 1 || r.aside[1] <= r.now {
+		t.Error("a load on a silent worker is waited for")
+	}
+}
+
+// Where copies believed warm are found gone, loads beside others wait longer.
+func TestCrowdedStoreSlowsLoads(t *testing.T) {
+	w := newWorld(10, plain(), 4)
+	drive(w, 2, 0.1, 4)
+	for _, m := range w.wks {
+		m.holds = map[FunctionID]bool{}
+	}
+	before := w.fes[0].r.lost
+	drive(w, 2, 0.1, 1)
+	if w.fes[0].r.lost <= before {
+		t.Errorf("the share of copies gone stays at %g", before)
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -50,11 +50,9 @@
 // Deployment is what the module reads at start, decoded once by the adapter.
 type Deployment struct {
 	FrontEnds   int
-	Zone        ZoneID
 	EventTypes  []EventType
 	Tenants     []Tenant
 	Asked       bool // the worker list must be asked for
-	AskWithin   float64
 	MissAnswers bool // a worker without the function answers a miss instead of loading it
 	MayOrder    bool
 	MayProbe    bool
@@ -63,7 +61,6 @@
 	MaxLaunches int
 	MaxPause    float64 // longest wait that a deferred client heeds; 0 where it is told none
 	KeepWarm    float64 // shortest time that an idle copy stays
-	OrderWait   float64
 	LoadWindow  float64
 	LoadFree    float64
 	LoadShare   float64
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -24,15 +24,14 @@
 
 type machine struct {
 	Worker
-	rate      float64 // events a second when warm
-	freeAt    float64
-	bornAt    float64
-	told      []Phase // what each front end was last told
-	sends     []float64
-	mood      int // 0 well, 1 silent, 2 failing, 3 turning away, 4 unreachable
-	holds     map[FunctionID]bool
-	toldBorn  []float64
-	firstTold bool
+	rate     float64 // events a second when warm
+	freeAt   float64
+	bornAt   float64
+	told     []Phase // what each front end was last told
+	sends    []float64
+	mood     int // 0 well, 1 silent, 2 failing, 3 turning away, 4 unreachable
+	holds    map[FunctionID]bool
+	toldBorn []float64
 }
 
 type taken struct {
@@ -124,7 +123,8 @@
 		}
 	}
 	if first != nil {
-		same := t.kind.Reach == ReachAll || first.wk.Zone == m.Zone && (t.kind.Reach == ReachZone || first.wk.Cell == m.Cell)
+		same := t.kind.Reach == ReachAll ||
+			first.wk.Zone == m.Zone && (t.kind.Reach == ReachZone || first.wk.Cell == m.Cell)
 		if t.kind.Repeat == AtMostOnce ||
 			t.kind.Repeat == Keyed && (!same || f.w.now > first.at+t.kind.Remembered) {
 			f.w.fault("%s launched again though it may have run", id)
@@ -272,7 +272,8 @@
 }
 
 func (f *frontEnd) take(id EventID, fn FunctionID, kind EventType, left float64) *taken {
-	t := &taken{Event: Event{ID: id, Type: kind.Name, Function: fn, Left: left, Lanes: 2}, kind: kind, due: f.w.now + left}
+	t := &taken{kind: kind, due: f.w.now + left,
+		Event: Event{ID: id, Type: kind.Name, Function: fn, Left: left, Lanes: 2}}
 	f.evts[id] = t
 	f.takes = append(f.takes, f.w.now)
 	f.r.Event(f.w.now, t.Event)
@@ -283,8 +284,9 @@
 func newWorld(seed int64, dep *Deployment, workers int) *world {
 	w := &world{rnd: rand.New(rand.NewSource(seed)), dep: dep, now: 100}
 	for i := range workers {
-		m := &machine{Worker: Worker{ID: WorkerID(fmt.Sprint("w", i)), Zone: ZoneID(fmt.Sprint(i % 2)), Cell: i % 3, Size: 1},
-			rate: 20, holds: map[FunctionID]bool{}, told: make([]Phase, dep.FrontEnds), toldBorn: make([]float64, dep.FrontEnds)}
+		m := &machine{rate: 20, holds: map[FunctionID]bool{},
+			Worker: Worker{ID: WorkerID(fmt.Sprint("w", i)), Zone: ZoneID(fmt.Sprint(i % 2)), Cell: i % 3, Size: 1},
+			told:   make([]Phase, dep.FrontEnds), toldBorn: make([]float64, dep.FrontEnds)}
 		w.wks = append(w.wks, m)
 	}
 	for i := range dep.FrontEnds {
--- a/wire/conf.go
+++ b/wire/conf.go
@@ -26,16 +26,15 @@
 	}
 	Discovery string
 	Domain    struct {
-		LoadFree, LoadPart, LoadWindowMs, OrderTimeoutMs, StaysLoadedMs float64
-		MayOrder                                                        bool
-		WhenAbsent                                                      string
+		LoadFree, LoadPart, LoadWindowMs, StaysLoadedMs float64
+		MayOrder                                        bool
+		WhenAbsent                                      string
 	}
 	RoundMs float64
 	Rules   struct {
-		AskWithinMs, ColdFrom, FallMs, FallMultiple, WarmWithinMs float64
+		ColdFrom, FallMs, FallMultiple, WarmWithinMs float64
 	}
 	Telemetry struct{ How string }
-	Zone      string
 }
 
 var repeats = map[string]control.Repeat{
@@ -53,9 +52,7 @@
 	}
 	d := &control.Deployment{
 		FrontEnds:   max(c.Balancers, 1),
-		Zone:        control.ZoneID(c.Zone),
 		Asked:       c.Discovery == "subscribe",
-		AskWithin:   c.Rules.AskWithinMs / 1000,
 		MissAnswers: c.Domain.WhenAbsent == "miss",
 		MayOrder:    c.Domain.MayOrder,
 		MayProbe:    c.Caps.Probes,
@@ -63,7 +60,6 @@
 		ProbeLoads:  c.Telemetry.How == "on_probe",
 		MaxLaunches: max(c.Caps.MostTries, 1),
 		KeepWarm:    c.Domain.StaysLoadedMs / 1000,
-		OrderWait:   c.Domain.OrderTimeoutMs / 1000,
 		LoadWindow:  c.Domain.LoadWindowMs / 1000,
 		LoadFree:    c.Domain.LoadFree,
 		LoadShare:   c.Domain.LoadPart,
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -32,7 +32,8 @@
 
 // Serve plays batches from in to out until the input ends.
 func Serve(in io.Reader, out io.Writer) (err error) {
-	s := &server{out: bufio.NewWriterSize(out, 1<<16), ends: map[string]*instance{}, lists: map[int][]control.Worker{}}
+	s := &server{out: bufio.NewWriterSize(out, 1<<16), ends: map[string]*instance{},
+		lists: map[int][]control.Worker{}}
 	r := bufio.NewReaderSize(in, 1<<16)
 	defer func() {
 		switch p := recover().(type) {
