--- a/control/control.go
+++ b/control/control.go
@@ -32,9 +32,9 @@
 	moreLost    = 120.0 // and so much more for the share of copies believed warm that were gone
 	lostPart    = 0.02  // weight of the newest in that share
 	limitLoads  = 3.0   // a load may take this multiple of its usual time before it counts as stuck
-	roomStart   = 4.0   // own events that a worker may hold at first
+	roomStart   = 16.0  // events that a worker may hold at first, in equal parts for the front ends
 	roomLeast   = 1.0   // and at the least, so that its recovery is seen
-	roomUp      = 0.1   // added by an answer well within the target time while the room is used
+	roomUp      = 0.4   // added by an answer well within the target time while the room is used
 	roomCut     = 0.75  // kept after an answer past roomLate of the target time
 	roomEarly   = 0.5
 	roomLate    = 0.6
@@ -165,7 +165,7 @@
 			// A process that started anew holds none of the copies that were seen there. Its strikes
 			// stay: one that dies again and again gets one launch at a time until it does well.
 			r.forget(i, true)
-			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, roomStart
+			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, r.part(roomStart)
 		}
 		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, w.Kind, w.Cell, w.Size, w.Born
 	}
@@ -186,7 +186,7 @@
 	r.id, r.hash = append(r.id, id), append(r.hash, hash(string(id)))
 	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, ""), append(r.cell, 0)
 	r.phase, r.flying, r.strikes = append(r.phase, Serving), append(r.flying, nil), append(r.strikes, 0)
-	r.room, r.heard, r.pushed = append(r.room, roomStart), append(r.heard, -1), append(r.pushed, nil)
+	r.room, r.heard, r.pushed = append(r.room, r.part(roomStart)), append(r.heard, -1), append(r.pushed, nil)
 	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.aside, &r.fails, &r.noRoom,
 		&r.probed, &r.carried, &r.most, &r.handled} {
 		*figures = append(*figures, 0)
@@ -360,6 +360,9 @@
 	r.settle()
 }
 
+// part is this front end's share of what all of them may add to a worker.
+func (r *Router) part(all float64) float64 { return all / float64(r.dep.FrontEnds) }
+
 // resize moves the number of own events that a worker may hold, as its answers come late or early.
 // It guards against all that makes a worker do less than its fellows; a cut counts once for all that
 // was sent before it, and one event alone tells nothing of a queue.
@@ -370,7 +373,7 @@
 		r.room[wk] = max(min(r.room[wk], held)*roomCut, roomLeast)
 		r.cutAt[wk] = r.now
 	case early && held > r.room[wk]/2:
-		r.room[wk] += roomUp
+		r.room[wk] += r.part(roomUp)
 	}
 }
 
