--- a/control/control.go
+++ b/control/control.go
@@ -32,9 +32,9 @@
 	moreLost    = 120.0 // and so much more for the share of copies believed warm that were gone
 	lostPart    = 0.02  // weight of the newest in that share
 	limitLoads  = 3.0   // a load may take this multiple of its usual time before it counts as stuck
-	roomStart   = 16.0  // events that a worker may hold at first, in equal parts for the front ends
+	roomStart   = 12.0  // events that a worker may hold at first, in equal parts for the front ends
 	roomLeast   = 1.0   // and at the least, so that its recovery is seen
-	roomUp      = 0.4   // added by an answer well within the target time while the room is used
+	roomUp      = 0.3   // added by an answer well within the target time while the room is used
 	roomCut     = 0.75  // kept after an answer past roomLate of the target time
 	roomEarly   = 0.5
 	roomLate    = 0.6
