--- a/control/control.go
+++ b/control/control.go
@@ -82,7 +82,6 @@
 	places       []place
 	order        int // worker with a load of ours under way, -1 for none
 	orderedAt    float64
-	denied       int // events given up for want of room since the newest order
 	followers    []*event
 }
 
@@ -778,13 +777,12 @@
 	func(r *Router, e *event) bool { return r.launch(e, r.bestWarm(e, true), false) },
 	// None passes: one load at a time for each function, on the least-utilized worker.
 	func(r *Router, e *event) bool {
-		pause := moreEvery/(1+float64(e.fn.denied)/4) + moreLost*r.lost
-		soon := r.now-e.fn.orderedAt < pause && r.standing(e.fn)
+		soon := r.now-e.fn.orderedAt < moreEvery+moreLost*r.lost && r.standing(e.fn)
 		if e.fn.order >= 0 || e.waits >= waitsMost || soon || !r.mayOrder() {
 			return false
 		}
 		if wk := r.loadSite(e); wk >= 0 {
-			e.fn.order, e.fn.orderedAt, e.fn.denied = wk, r.now, 0
+			e.fn.order, e.fn.orderedAt = wk, r.now
 			r.ordered = append(r.ordered, r.now)
 			r.host.Hold(r.id[wk], e.fn.id, 1)
 			if r.bestWarm(e, false) < 0 {
@@ -815,7 +813,6 @@
 	// Nobody has room. A queue here would only make all of it late; told at once, a client can come
 	// back in time.
 	func(r *Router, e *event) bool {
-		e.fn.denied++
 		r.giveUp(e)
 		return true
 	},
