Measure slowness against a worker's long run, one slow worker aside at a time

Harm: a worker that turns slow for minutes comes to count as its usual self; its room has been cut by then.

--- a/control/control.go
+++ b/control/control.go
@@ -20,8 +20,9 @@
 	asideFor    = 2.0   // for so long; troubles of other kinds double it up to asideMost
 	asideMost   = 8.0   // against asking a dead worker too often, yet finding it soon when it is back
 	asidePart   = 0.4   // of the serving workers at most: past it all are slow, and leaving them harms
-	slowPart    = 0.15  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
+	slowPart    = 0.05  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
 	recentPart  = 0.2   // weight of the newest latency, low against single heavy events
+	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run
 	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
 	failPart    = 0.25  // weight of the newest outcome in a worker's share of failures
 	failMost    = 0.4   // share of failures past which a worker answers fast but wrong
@@ -114,6 +115,7 @@
 	heard    []float64  // events held there by its newest report, less our own; -1 unheard
 	aside    []float64  // set aside until
 	strikes  []int      // troubles in a row
+	pace     []float64  // latencies over their medians in the long run
 	fails    []float64  // share of late failures
 	noRoom   []float64  // no load fits before
 	probed   []float64
@@ -163,7 +165,7 @@
 		}
 		if known && w.Born != r.born[i] {
 			// A process that started anew holds none of the copies that were seen there. Its strikes
-			// stay: one that dies again and again gets one launch at a time until it does well.
+			// stay, against one that dies again and again.
 			r.forget(i, true)
 			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, r.part(roomStart)
 		}
@@ -187,8 +189,8 @@
 	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, ""), append(r.cell, 0)
 	r.phase, r.flying, r.strikes = append(r.phase, Serving), append(r.flying, nil), append(r.strikes, 0)
 	r.room, r.heard, r.pushed = append(r.room, r.part(roomStart)), append(r.heard, -1), append(r.pushed, nil)
-	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.aside, &r.fails, &r.noRoom,
-		&r.probed, &r.carried, &r.most, &r.handled} {
+	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.pace, &r.aside, &r.fails,
+		&r.noRoom, &r.probed, &r.carried, &r.most, &r.handled} {
 		*figures = append(*figures, 0)
 	}
 	return r.index[id]
@@ -233,8 +235,7 @@
 	f := r.fns[in.Function]
 	if f == nil {
 		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1}
-		r.fns[in.Function] = f
-		r.every = append(r.every, f)
+		r.fns[in.Function], r.every = f, append(r.every, f)
 	}
 	f.lanes, f.heard, f.load = max(in.Lanes, 1), now, max(in.Load, f.load)
 	r.mark++
@@ -280,12 +281,9 @@
 }
 
 // Probed is the end of a probe.
-func (r *Router) Probed(now float64, id WorkerID, res Result, took float64, rep Report) {
+func (r *Router) Probed(now float64, id WorkerID, rep Report) {
 	r.now = now
-	if wk, ok := r.index[id]; ok {
-		r.reported(wk, rep)
-	}
-	r.settle()
+	r.reported(r.index[id], rep)
 }
 
 func (r *Router) reported(wk int, rep Report) {
@@ -308,8 +306,7 @@
 	p := f.make(wk)
 	e.out = false
 	r.flying[wk] = slices.DeleteFunc(r.flying[wk], func(o *event) bool { return o == e })
-	f.out--
-	p.out--
+	f.out, p.out = f.out-1, p.out-1
 	r.reported(wk, end.Report)
 	if end.Result != TimedOut && end.Result != Cancelled {
 		r.answered[wk] = now
@@ -318,7 +315,7 @@
 		r.lost += lostPart
 	}
 	r.lost *= 1 - lostPart
-	proven := false
+	proven := end.Result >= TurnedAway
 	switch end.Result {
 	case Handled:
 		r.handled[wk]++
@@ -326,11 +323,10 @@
 			r.strikes[wk] = 0
 		}
 		if p.warm, p.seen = true, now; end.Warmth <= FoundWarm {
-			f.timed(p, end.Took, now)
+			r.timed(f, p, end.Took)
 			r.resize(e, end.Took > roomLate*e.kind.TargetTime, end.Took < roomEarly*e.kind.TargetTime)
 		}
 	case Failed, Broken, Unreachable:
-		proven = end.Result == Unreachable
 		r.fails[wk] += failPart * (1 - r.fails[wk])
 		if r.fails[wk] > failMost {
 			r.strike(wk)
@@ -338,13 +334,10 @@
 	case TimedOut: // no answer is the latest of answers; unheeded, a crowded worker stays crowded
 		r.resize(e, !e.loading && end.Took > roomLate*e.kind.TargetTime, false)
 	case TurnedAway:
-		proven = true
 		r.noRoom[wk] = now + noRoomFor
 		r.resize(e, true, false)
 	case Missed:
-		proven, p.warm = true, false
-	case NeverSent:
-		proven = true
+		p.warm = false
 	}
 	if !proven && !e.mayRun {
 		e.mayRun, e.runAt, e.runZone, e.runCell = true, e.sentAt, r.zone[wk], r.cell[wk]
@@ -377,7 +370,9 @@
 	}
 }
 
-func (f *function) timed(p *place, took, now float64) {
+// timed feeds a copy's latency. The paper compares with profiles of the hardware: where kinds of worker
+// differ in speed, one that is always slow is no slower than its profile.
+func (r *Router) timed(f *function, p *place, took float64) {
 	if f.median == 0 {
 		f.median = took
 	}
@@ -388,15 +383,16 @@
 		f.median /= medianStep * medianStep
 	}
 	p.recent += recentPart * (took - p.recent)
-	p.timedAt = now
-	if p.recent <= overMedian*f.median {
+	p.timedAt = r.now
+	r.pace[p.wk] += pacePart * (took/f.median - r.pace[p.wk])
+	if p.recent <= r.usual(f, p) {
 		p.slowSince = 0
 	} else if p.slowSince == 0 {
-		p.slowSince = now
+		p.slowSince = r.now
 	}
 }
 
-// strike sets a bad worker aside, for twice as long each time; one launch at a time then tries it.
+// strike sets a bad worker aside, for twice as long each time until it does well.
 func (r *Router) strike(wk int) {
 	r.leave(wk, min(asideFor*float64(int(1)<<min(r.strikes[wk], 8)), asideMost), asidePart)
 	r.strikes[wk]++
@@ -420,11 +416,10 @@
 	if f == nil {
 		return
 	}
-	switch {
-	case copies > 0:
+	if copies > 0 {
 		p := f.make(wk)
 		p.warm, p.seen = true, now
-	case res == TurnedAway:
+	} else if res == TurnedAway {
 		r.noRoom[wk] = now + noRoomFor
 	}
 	r.answered[wk] = now
@@ -570,7 +565,7 @@
 	return group && e.kind.Repeat == Keyed && r.now < e.runAt+e.kind.Remembered
 }
 
-// fit tells whether a worker is in good health; one with strikes gets one launch at a time.
+// fit tells whether a worker is in good health and has room.
 func (r *Router) fit(wk int) bool {
 	held := 0
 	for _, e := range r.flying[wk] {
@@ -578,7 +573,7 @@
 			held++
 		}
 	}
-	return r.aside[wk] <= r.now && float64(held) < r.room[wk] && (r.strikes[wk] < 1 || held == 0)
+	return r.aside[wk] <= r.now && float64(held) < r.room[wk]
 }
 
 func hash(s string) uint64 {
@@ -642,7 +637,12 @@
 // slow is the design's latency test. A copy that is passed over gets no new figures, so an old one
 // must not keep it out for good, nor one heavy event an idle copy.
 func (r *Router) slow(f *function, p *place) bool {
-	return p.out > 0 && r.now-p.timedAt < slowFor && p.recent > overMedian*f.median
+	return p.out > 0 && r.now-p.timedAt < slowFor && p.recent > r.usual(f, p)
+}
+
+// usual is the latency past which a copy is slow.
+func (r *Router) usual(f *function, p *place) float64 {
+	return overMedian * f.median * max(r.pace[p.wk], 1)
 }
 
 // bestWarm is the least-loaded of the warm copies in use: the first by rank, as many as the events in
@@ -659,8 +659,7 @@
 		return false
 	}
 	e.wk, e.sentAt, e.out, e.loading = wk, r.now, true, loading
-	e.launches++
-	e.fn.out++
+	e.launches, e.fn.out = e.launches+1, e.fn.out+1
 	e.fn.make(wk).out++
 	r.flying[wk] = append(r.flying[wk], e)
 	r.pushed[wk] = append(r.within(r.pushed[wk], r.dep.FallWindow), r.now)
--- a/control/types.go
+++ b/control/types.go
@@ -110,12 +110,12 @@
 
 const (
 	Handled Result = iota
-	Failed         // answered with an error; it may have run
-	TurnedAway
+	Failed         // answered with an error
 	TimedOut
-	Unreachable
-	Broken // the connection broke under it; it may have run
+	Broken // the connection broke under it
 	Cancelled
+	TurnedAway // from here on it is proven that it never ran
+	Unreachable
 	NeverSent
 	Missed
 )
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -251,7 +251,7 @@
 	if !f.w.dep.MayProbe || f.w.machine(wk).told[f.me] == Gone {
 		f.w.fault("probe of %s", wk)
 	}
-	f.w.after(0.01, func() { f.r.Probed(f.w.now, wk, Handled, 0.01, Report{}) })
+	f.w.after(0.01, func() { f.r.Probed(f.w.now, wk, Report{}) })
 }
 
 func (f *frontEnd) Wake(after float64, mark uint64) {
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -182,8 +182,7 @@
 		i.mod.HungUp(s.now, control.EventID(l.need("Id")))
 	},
 	"CHECKED": func(s *server, i *instance, l *line) {
-		i.mod.Probed(s.now, control.WorkerID(l.need("Worker")), pick(l, "Rc", results), l.seconds("DelaySeenMs"),
-			l.report("Pressure"))
+		i.mod.Probed(s.now, control.WorkerID(l.need("Worker")), l.report("Pressure"))
 	},
 	"WAKEUP": func(s *server, i *instance, l *line) {
 		i.mod.Woken(s.now, l.mark("Mark"))
