Set a worker aside for failures only past four fifths of its answers

A failed event goes elsewhere at once anyway, while leaving a half-failing worker alone moves its functions and their loads to the others. Harm: a worker that fails slowly on half its events keeps getting them; its room is cut by lateness.

--- a/control/control.go
+++ b/control/control.go
@@ -25,7 +25,7 @@
 	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run
 	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
 	failPart    = 0.25  // weight of the newest outcome in a worker's share of failures
-	failMost    = 0.4   // share of failures past which a worker answers fast but wrong
+	failMost    = 0.8   // share of failures past which a worker answers fast but wrong
 	muteFor     = 20.0  // medians waited in all, with no answer since, before a worker counts as silent
 	muteLeast   = 0.6   // but not sooner, against a short pause
 	waitsMost   = 3     // load orders that an event follows, against one that fits nowhere
