--- a/control/control_test.go
+++ b/control/control_test.go
@@ -288,3 +288,50 @@
 		t.Errorf("the share of copies gone stays at %g", before)
 	}
 }
+
+// The design's defaults: warm entries lapse, fall with a miss or a new start, and a copy is overloaded at
+// twice its lanes; one load for each function at a time.
+func TestDesignDefaults(t *testing.T) {
+	warmed := func() (*world, *frontEnd, *function, *place) {
+		w := newWorld(11, plain(), 3)
+		drive(w, 1, 0.2, 2)
+		f := w.fes[0]
+		fn := f.r.fns["f0"]
+		fn.places = fn.places[:1]
+		fn.places[0].warm, fn.places[0].seen = true, f.r.now
+		return w, f, fn, &fn.places[0]
+	}
+	w, f, fn, p := warmed()
+	if p.seen = f.r.now - 7.9; !f.r.warm(p) {
+		t.Error("a copy lapsed before its keep-alive")
+	}
+	if p.seen = f.r.now - 8.1; f.r.warm(p) {
+		t.Error("a copy outlives its keep-alive")
+	}
+	w, f, fn, p = warmed()
+	e := &event{fn: fn, kind: &w.dep.EventTypes[0], wk: -1}
+	if p.out = 3; f.r.bestWarm(e, true) != p.wk {
+		t.Error("a copy under twice its lanes is passed over")
+	}
+	if p.out = 4; f.r.bestWarm(e, true) >= 0 || f.r.bestWarm(e, false) != p.wk {
+		t.Error("a copy at twice its lanes passes, or is not the last resort")
+	}
+	w, f, _, p = warmed()
+	w.wks[p.wk].Born, w.wks[p.wk].bornAt = w.now, w.now
+	if f.tell(false); p.warm {
+		t.Error("a copy outlives its process")
+	}
+	w, f, _, p = warmed()
+	w.wks[p.wk].holds = map[FunctionID]bool{}
+	orders := len(f.ordered)
+	f.take("m", "f0", w.dep.EventTypes[0], 3)
+	if w.step(0.02); p.warm || len(f.ordered) != orders+1 {
+		t.Errorf("after a miss the entry stands (%v) or %d loads began", p.warm, len(f.ordered)-orders)
+	}
+	for i := range 5 {
+		f.take(EventID(fmt.Sprint("n", i)), "f0", w.dep.EventTypes[0], 3)
+	}
+	if len(f.ordered) != orders+1 {
+		t.Errorf("%d loads of one function at once", len(f.ordered)-orders)
+	}
+}
