--- a/control/control.go
+++ b/control/control.go
@@ -9,7 +9,7 @@
 // A host makes one Router for each front end with New, then calls List, Event, Ended, Held, Probed,
 // Started, HungUp and Woken as things come in, each with the clock. Answers go out through
 // Host (types.go) before the call returns. Every call notes what it heard and then goes through two
-// ordered lists of rules, fleetRules and eventRules, until none fires. The mechanism is that of
+// ordered lists of rules, workerRules and eventRules, until none fires. The mechanism is that of
 // docs/design.md; a comment at each rule or figure says what it guards against.
 
 const (
@@ -54,7 +54,7 @@
 	Event
 	kind               *EventType
 	fn                 *function
-	at, due, sentAt    float64
+	due, sentAt        float64
 	mark               uint64
 	launches, waits    int // waits counts the load orders that it followed
 	wk                 int // worker of the newest launch, -1 before
@@ -126,7 +126,7 @@
 
 	taken, ordered              []float64 // events taken and loads ordered within the load window
 	lastTick, lost              float64
-	look                        bool // the fleet rules are due
+	look                        bool // the worker rules are due
 	meanAt, meanLoad, meanHeard float64
 }
 
@@ -169,7 +169,7 @@
 			r.forget(i, true)
 			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, r.part(roomStart)
 		}
-		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, w.Kind, w.Cell, w.Size, w.Born
+		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, w.Kind, w.Cell, max(w.Size, 0.01), w.Born
 	}
 	for i := range named {
 		if full && !named[i] {
@@ -225,7 +225,7 @@
 func (r *Router) Event(now float64, in Event) {
 	r.now = now
 	// A type that was never stated is handled with the most care.
-	e := &event{Event: in, at: now, due: now + in.Left, wk: -1,
+	e := &event{Event: in, due: now + in.Left, wk: -1,
 		kind: &EventType{TargetTime: in.Left, MaxAge: in.Left, Repeat: AtMostOnce}}
 	for i := range r.dep.EventTypes {
 		if r.dep.EventTypes[i].Name == in.Type {
@@ -315,7 +315,6 @@
 		r.lost += lostPart
 	}
 	r.lost *= 1 - lostPart
-	proven := end.Result >= TurnedAway
 	switch end.Result {
 	case Handled:
 		r.handled[wk]++
@@ -339,7 +338,7 @@
 	case Missed:
 		p.warm = false
 	}
-	if !proven && !e.mayRun {
+	if end.Result < TurnedAway && !e.mayRun {
 		e.mayRun, e.runAt, e.runZone, e.runCell = true, e.sentAt, r.zone[wk], r.cell[wk]
 	}
 	switch {
@@ -400,7 +399,7 @@
 
 // leave sets a worker aside, unless so many are that the trouble can't be theirs.
 func (r *Router) leave(wk int, span, most float64) bool {
-	kept := r.mean(func(k int) (float64, bool) { return min(max((r.aside[k]-r.now)*1e9, 0), 1), true })
+	kept := r.mean(func(k int) (float64, bool) { return float64(max(cmp.Compare(r.aside[k], r.now), 0)), true })
 	if kept >= most {
 		return false
 	}
@@ -539,7 +538,7 @@
 	if heard < 0 {
 		heard = r.meanHeard
 	}
-	return (float64(len(r.flying[wk])+1) + heard) / (max(r.size[wk], 0.01) * r.warmth(wk, r.now))
+	return (float64(len(r.flying[wk])+1) + heard) / (r.size[wk] * r.warmth(wk, r.now))
 }
 
 // survey takes the means over the fleet, once for each moment.
@@ -784,10 +783,6 @@
 			e.fn.order, e.fn.orderedAt = wk, r.now
 			r.ordered = append(r.ordered, r.now)
 			r.host.Hold(r.id[wk], e.fn.id, 1)
-			if r.bestWarm(e, false) < 0 {
-				e.fn.wait(e)
-				return true
-			}
 		}
 		return false
 	},
--- a/control/types.go
+++ b/control/types.go
@@ -37,8 +37,6 @@
 	Repeat     Repeat
 	Reach      Reach
 	Remembered float64 // how long a keyed event's repeats are known
-	Streaming  bool
-	Benefit    float64
 }
 
 // Tenant is one customer with its agreed rate over all front ends.
@@ -133,8 +131,8 @@
 
 // Report is a worker's load report; Known tells which figures it carries.
 type Report struct {
-	Running, Waiting, Busy, Pinned, Loads float64
-	Known                                 Figures
+	Running, Waiting, Busy float64
+	Known                  Figures
 }
 
 // Figures is a set of figures of a report.
@@ -144,12 +142,9 @@
 	HasRunning Figures = 1 << iota
 	HasWaiting
 	HasBusy
-	HasPinned
-	HasLoads
 )
 
-// Ending is the end of one launch. Company is the number of events of the same function that
-// the worker held when this one came, -1 where that is not told.
+// Ending is the end of one launch.
 type Ending struct {
 	Event   EventID
 	Worker  WorkerID
@@ -158,7 +153,6 @@
 	Settled bool
 	Took    float64
 	Warmth  Warmth
-	Company int
 	Report  Report
 }
 
--- a/wire/conf.go
+++ b/wire/conf.go
@@ -21,8 +21,6 @@
 	Classes []struct {
 		Name, Idempotency, Group      string
 		AimMs, GiveUpMs, MemorySpanMs float64
-		Streaming                     bool
-		Worth                         float64
 	}
 	Discovery string
 	Domain    struct {
@@ -83,7 +81,7 @@
 		}
 		d.EventTypes = append(d.EventTypes, control.EventType{
 			Name: t.Name, TargetTime: t.AimMs / 1000, MaxAge: t.GiveUpMs / 1000, Repeat: repeat,
-			Reach: reach, Remembered: t.MemorySpanMs / 1000, Streaming: t.Streaming, Benefit: t.Worth,
+			Reach: reach, Remembered: t.MemorySpanMs / 1000,
 		})
 	}
 	return d
--- a/wire/line.go
+++ b/wire/line.go
@@ -156,10 +156,6 @@
 			r.Waiting, r.Known = n, r.Known|control.HasWaiting
 		case "busy":
 			r.Busy, r.Known = n, r.Known|control.HasBusy
-		case "x0":
-			r.Pinned, r.Known = n, r.Known|control.HasPinned
-		case "x1":
-			r.Loads, r.Known = n, r.Known|control.HasLoads
 		}
 	}
 	return r
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -166,7 +166,7 @@
 		end := control.Ending{
 			Event: control.EventID(l.need("Id")), Worker: control.WorkerID(l.need("Worker")),
 			Launch: l.whole("Leg"), Result: pick(l, "Rc", results), Settled: l.flag("Settled"),
-			Took: l.seconds("DelaySeenMs"), Warmth: control.Warmth(info & 7), Company: info >> 3,
+			Took: l.seconds("DelaySeenMs"), Warmth: control.Warmth(info & 7),
 			Report: l.report("Pressure"),
 		}
 		i.mod.Ended(s.now, end)
