Leave out probes; draw for turns at cold workers when there are many front ends

Now the mean of the kind counts, and of a budget under one each front end draws for a turn in every window. It guards against any crowd of front ends before a new worker, rollouts and replacements alike; it could starve a cold fleet where front ends are many and warm workers never were.

--- a/control/control.go
+++ b/control/control.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// A host makes one Router for each front end with New, then calls List, Event, Ended, Held, Probed,
-// Started, HungUp and Woken as things come in, each with the clock. Answers go out through
+// A host makes one Router for each front end with New, then calls List, Event, Ended, Held, Started,
+// HungUp and Woken as things come in, each with the clock. Answers go out through
 // Host (types.go) before the call returns. Every call notes what it heard and then goes through two
 // ordered lists of rules, workerRules and eventRules, until none fires. The mechanism is that of
 // docs/design.md; a comment at each rule or figure says what it guards against.
@@ -30,8 +30,8 @@
 	muteLeast   = 0.6   // but not sooner, against a short pause
 	waitsMost   = 3     // load orders that an event follows, against one that fits nowhere
 	moreEvery   = 2.5   // pause before one more copy beside others, against a jam that sows copies everywhere
-	moreLost    = 120.0 // and so much more for the share of copies believed warm that were gone
-	lostPart    = 0.02  // weight of the newest in that share
+	moreLost    = 120.0 // and more for the share of copies believed warm that were gone
+	lostPart    = 0.02  // weight of the newest in it
 	limitLoads  = 3.0   // a load may take this multiple of its usual time before it counts as stuck
 	roomStart   = 12.0  // events that a worker may hold at first, in equal parts for the front ends
 	roomLeast   = 1.0   // and at the least, so that its recovery is seen
@@ -41,9 +41,8 @@
 	roomLate    = 0.6
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
+	turnPart    = 0.7  // and of that, where front ends take turns by chance
 	coldPart    = 0.9  // part of the cold budget that is used, against rates that were misjudged
-	probeEvery  = 1.0  // pause between probes of a worker, where only they bring reports
-	busyEvents  = 10.0 // events that a use of one stands for beside our own
 	tick        = 0.25 // pause between looks at the clock
 	rateSpan    = 5.0  // span over which carried rates are averaged
 	noRoomFor   = 0.5  // a worker that had no room is asked to load again after this
@@ -103,26 +102,29 @@
 	id       []WorkerID
 	hash     []uint64
 	zone     []ZoneID
-	kind     []KindID
+	kind     []int // index into the kinds of machine:
 	cell     []int
 	phase    []Phase
 	size     []float64
 	born     []float64
-	flying   [][]*event // own events in flight
-	answered []float64  // newest answer
-	room     []float64  // own events that it may hold
-	cutAt    []float64  // when that was last cut
-	heard    []float64  // events held there by its newest report, less our own; -1 unheard
-	aside    []float64  // set aside until
-	strikes  []int      // troubles in a row
-	pace     []float64  // latencies over their medians in the long run
-	fails    []float64  // share of late failures
-	noRoom   []float64  // no load fits before
-	probed   []float64
+	flying   [][]*event  // own events in flight
+	answered []float64   // newest answer
+	room     []float64   // own events that it may hold
+	cutAt    []float64   // when that was last cut
+	heard    []float64   // events held there by its newest report, less our own; -1 unheard
+	aside    []float64   // set aside until
+	strikes  []int       // troubles in a row
+	pace     []float64   // latencies over their medians in the long run
+	fails    []float64   // share of late failures
+	noRoom   []float64   // no load fits before
 	pushed   [][]float64 // launches of the current fall window, also from before a start was told
-	handled  []float64   // own events handled since the last tick
-	carried  []float64   // own events handled each second, and the most of that while warm
-	most     []float64
+	turn     []float64   // end of the window in which a launch to a cold worker was drawn for
+	drawn    []bool      // and whether it may still be sent
+
+	kinds   map[KindID]int
+	handled []float64 // own events handled by warm workers of the kind since the last tick
+	carried []float64 // the same each second and worker, and the most of that
+	most    []float64
 
 	taken, ordered              []float64 // events taken and loads ordered within the load window
 	lastTick, lost              float64
@@ -134,7 +136,7 @@
 func New(dep *Deployment, seed uint64, host Host, now float64) *Router {
 	return &Router{dep: dep, host: host, now: now, x: uint32(seed), c: uint32(seed>>32)%4294957664 + 1, mark: 1,
 		evts: map[EventID]*event{}, marks: map[uint64]*event{}, fns: map[FunctionID]*function{},
-		index: map[WorkerID]int{}, lastTick: now}
+		index: map[WorkerID]int{}, kinds: map[KindID]int{}, lastTick: now}
 }
 
 func (r *Router) chance(n int) int {
@@ -167,9 +169,15 @@
 			// A process that started anew holds none of the copies that were seen there. Its strikes
 			// stay, against one that dies again and again.
 			r.forget(i, true)
-			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, r.part(roomStart)
+			r.aside[i], r.noRoom[i], r.turn[i], r.room[i] = 0, 0, 0, r.part(roomStart)
+		}
+		kind, met := r.kinds[w.Kind]
+		if !met {
+			kind = len(r.kinds)
+			r.kinds[w.Kind] = kind
+			r.handled, r.carried, r.most = append(r.handled, 0), append(r.carried, 0), append(r.most, 0)
 		}
-		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, w.Kind, w.Cell, max(w.Size, 0.01), w.Born
+		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, kind, w.Cell, max(w.Size, 0.01), w.Born
 	}
 	for i := range named {
 		if full && !named[i] {
@@ -186,11 +194,12 @@
 func (r *Router) admit(id WorkerID) int {
 	r.index[id] = len(r.id)
 	r.id, r.hash = append(r.id, id), append(r.hash, hash(string(id)))
-	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, ""), append(r.cell, 0)
+	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, 0), append(r.cell, 0)
 	r.phase, r.flying, r.strikes = append(r.phase, Serving), append(r.flying, nil), append(r.strikes, 0)
 	r.room, r.heard, r.pushed = append(r.room, r.part(roomStart)), append(r.heard, -1), append(r.pushed, nil)
+	r.drawn = append(r.drawn, false)
 	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.pace, &r.aside, &r.fails,
-		&r.noRoom, &r.probed, &r.carried, &r.most, &r.handled} {
+		&r.noRoom, &r.turn} {
 		*figures = append(*figures, 0)
 	}
 	return r.index[id]
@@ -221,7 +230,6 @@
 	return f.at(wk)
 }
 
-// Event takes one event.
 func (r *Router) Event(now float64, in Event) {
 	r.now = now
 	// A type that was never stated is handled with the most care.
@@ -248,14 +256,13 @@
 	r.settle()
 }
 
-// Started tells that an answer has begun to stream; it has no max age from then on.
+// Started tells that an answer has begun to stream: no max age holds from then on.
 func (r *Router) Started(now float64, id EventID) {
 	if e := r.evts[id]; e != nil {
 		e.streams = true
 	}
 }
 
-// HungUp tells that the client has left.
 func (r *Router) HungUp(now float64, id EventID) {
 	r.now = now
 	if e := r.evts[id]; e != nil {
@@ -280,22 +287,12 @@
 	r.settle()
 }
 
-// Probed is the end of a probe.
-func (r *Router) Probed(now float64, id WorkerID, rep Report) {
-	r.now = now
-	r.reported(r.index[id], rep)
-}
-
 func (r *Router) reported(wk int, rep Report) {
-	if rep.Known&HasBusy != 0 {
-		r.heard[wk] = rep.Busy * busyEvents
-	}
 	if rep.Known&(HasRunning|HasWaiting) != 0 {
 		r.heard[wk] = max(rep.Running+rep.Waiting-float64(len(r.flying[wk])), 0)
 	}
 }
 
-// Ended is the end of one launch.
 func (r *Router) Ended(now float64, end Ending) {
 	r.now = now
 	e := r.evts[end.Event]
@@ -308,16 +305,18 @@
 	r.flying[wk] = slices.DeleteFunc(r.flying[wk], func(o *event) bool { return o == e })
 	f.out, p.out = f.out-1, p.out-1
 	r.reported(wk, end.Report)
-	if end.Result != TimedOut && end.Result != Cancelled {
-		r.answered[wk] = now
-	}
 	if end.Result == Missed || end.Warmth == BeganLoad {
 		r.lost += lostPart
 	}
+	if end.Result != TimedOut && end.Result != Cancelled {
+		r.answered[wk] = now
+	}
 	r.lost *= 1 - lostPart
 	switch end.Result {
 	case Handled:
-		r.handled[wk]++
+		if r.warmth(wk, r.now) >= 1 {
+			r.handled[r.kind[wk]]++
+		}
 		if r.fails[wk] *= 1 - failPart; r.fails[wk] < failMost/2 {
 			r.strikes[wk] = 0
 		}
@@ -408,7 +407,6 @@
 	return true
 }
 
-// Held is the answer to an order.
 func (r *Router) Held(now float64, id WorkerID, fn FunctionID, res Result, copies int, took float64) {
 	r.now = now
 	wk, f := r.index[id], r.fns[fn]
@@ -428,11 +426,6 @@
 	r.settle()
 }
 
-func (f *function) wait(e *event) {
-	e.waits++
-	f.followers = append(f.followers, e)
-}
-
 // follow lets the events that waited for an order be decided anew.
 func (r *Router) follow(f *function) {
 	f.order = -1
@@ -461,20 +454,21 @@
 
 // age does what only the clock brings about.
 func (r *Router) age() {
-	for wk := range r.id {
-		if r.dep.MayProbe && r.dep.ProbeLoads && r.phase[wk] == Serving && r.now >= r.probed[wk]+probeEvery {
-			r.probed[wk] = r.now
-			r.host.Probe(r.id[wk])
-		}
-	}
 	span := max(r.now-r.lastTick, tick/2)
 	r.lastTick = r.now
-	for wk := range r.id {
-		r.carried[wk] += min(span/rateSpan, 1) * (r.handled[wk]/span - r.carried[wk])
-		if r.handled[wk] = 0; r.warmth(wk, r.now) >= 1 {
-			r.most[wk] = max(r.most[wk], r.carried[wk])
+	warm := make([]float64, len(r.most))
+	for wk, kind := range r.kind {
+		if r.phase[wk] == Serving && r.warmth(wk, r.now) >= 1 {
+			warm[kind]++
 		}
 	}
+	for k, n := range warm {
+		if n > 0 {
+			r.carried[k] += min(span/rateSpan, 1) * (r.handled[k]/span/n - r.carried[k])
+			r.most[k] = max(r.most[k], r.carried[k])
+		}
+		r.handled[k] = 0
+	}
 	r.every = slices.DeleteFunc(r.every, func(f *function) bool {
 		idle := f.order < 0 && f.out == 0 && r.now-f.heard > forgetAfter
 		if idle {
@@ -511,25 +505,32 @@
 	return r.dep.ColdShare + (1-r.dep.ColdShare)*max(at-r.born[wk], 0)/r.dep.WarmWithin
 }
 
-// coldRoom tells whether one more launch keeps a cold worker's budget. Its capacity is not told; what
-// warm workers handle for this front end is a part of it, and the parts of all front ends add up to
-// no more than the whole. So no front end needs to know of the others.
+// coldBudget is the number of launches that this front end may add to a cold worker in a fall window. Its
+// capacity is not told; what a warm worker of its kind handles for this front end is a part of that, and the
+// parts of all front ends add up to no more than the whole. So no front end needs to know of the others.
+// The most in the past counts: in a rollout soon none is warm, and a budget from what cold workers carry
+// would shrink itself.
+func (r *Router) coldBudget(wk int) float64 {
+	start := max(r.now-r.dep.FallWindow, r.born[wk])
+	return coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * r.most[r.kind[wk]]
+}
+
+// coldRoom tells whether one more launch keeps a cold worker's budget.
 func (r *Router) coldRoom(wk int) bool {
 	if r.warmth(wk, r.now) >= 1 {
 		return true
 	}
-	// The most that each carried, also those gone: in a rollout soon none is warm, and a budget from
-	// what cold workers carry would shrink itself.
-	sum, n := 0.0, 0.0
-	for k, most := range r.most {
-		if r.kind[k] == r.kind[wk] && most > 0 {
-			sum, n = sum+most, n+1
-		}
-	}
 	r.pushed[wk] = r.within(r.pushed[wk], r.dep.FallWindow)
-	start := max(r.now-r.dep.FallWindow, r.born[wk])
-	budget := coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * sum / max(n, 1)
-	return float64(len(r.pushed[wk])+1) <= max(budget, 1)
+	budget := r.coldBudget(wk)
+	if budget >= 1 || r.dep.FrontEnds == 1 {
+		return float64(len(r.pushed[wk])+1) <= max(budget, 1)
+	}
+	// Against a hundred front ends that may send one each: of a budget under one each draws for a turn, anew
+	// in every window, so that turns not taken can't pile up.
+	if r.now >= r.turn[wk] {
+		r.turn[wk], r.drawn[wk] = r.now+r.dep.FallWindow, float64(r.chance(1<<20)) < budget*turnPart*(1<<20)
+	}
+	return r.drawn[wk]
 }
 
 // load is how busy a worker is believed to be, for its size; workers unheard of count as average.
@@ -662,6 +663,7 @@
 	e.fn.make(wk).out++
 	r.flying[wk] = append(r.flying[wk], e)
 	r.pushed[wk] = append(r.within(r.pushed[wk], r.dep.FallWindow), r.now)
+	r.drawn[wk] = false
 	r.host.Launch(e.ID, r.id[wk], e.due-r.now)
 	return true
 }
@@ -797,7 +799,8 @@
 		if r.now-e.fn.orderedAt > 4*r.dep.RoundGap && r.may(e, wk) && r.fit(wk) && wk != e.wk {
 			return r.launch(e, wk, true)
 		}
-		e.fn.wait(e)
+		e.waits++
+		e.fn.followers = append(e.fn.followers, e)
 		return true
 	},
 	// Without orders a worker loads what it is sent, where the deployment's workers do that.
--- a/control/types.go
+++ b/control/types.go
@@ -53,9 +53,7 @@
 	Asked       bool // the worker list must be asked for
 	MissAnswers bool // a worker without the function answers a miss instead of loading it
 	MayOrder    bool
-	MayProbe    bool
 	MayCancel   bool
-	ProbeLoads  bool // only probes bring load reports
 	MaxLaunches int
 	MaxPause    float64 // longest wait that a deferred client heeds; 0 where it is told none
 	KeepWarm    float64 // shortest time that an idle copy stays
@@ -103,7 +101,7 @@
 	Repeated bool
 }
 
-// Result is how a launch, an order or a probe ended.
+// Result is how a launch or an order ended.
 type Result int
 
 const (
@@ -131,8 +129,8 @@
 
 // Report is a worker's load report; Known tells which figures it carries.
 type Report struct {
-	Running, Waiting, Busy float64
-	Known                  Figures
+	Running, Waiting float64
+	Known            Figures
 }
 
 // Figures is a set of figures of a report.
@@ -141,7 +139,6 @@
 const (
 	HasRunning Figures = 1 << iota
 	HasWaiting
-	HasBusy
 )
 
 // Ending is the end of one launch.
@@ -163,7 +160,6 @@
 	DeadLetter(evt EventID)
 	Cancel(evt EventID, launch int)
 	Hold(wk WorkerID, fn FunctionID, copies int)
-	Probe(wk WorkerID)
 	Wake(after float64, mark uint64)
 	Subscribe()
 }
--- a/wire/conf.go
+++ b/wire/conf.go
@@ -14,9 +14,9 @@
 	}
 	Balancers int
 	Caps      struct {
-		Cancel, Probes, RetryAfter bool
-		MaxRetryAfterMs            float64
-		MostTries                  int
+		Cancel, RetryAfter bool
+		MaxRetryAfterMs    float64
+		MostTries          int
 	}
 	Classes []struct {
 		Name, Idempotency, Group      string
@@ -32,7 +32,6 @@
 	Rules   struct {
 		ColdFrom, FallMs, FallMultiple, WarmWithinMs float64
 	}
-	Telemetry struct{ How string }
 }
 
 var repeats = map[string]control.Repeat{
@@ -53,9 +52,7 @@
 		Asked:       c.Discovery == "subscribe",
 		MissAnswers: c.Domain.WhenAbsent == "miss",
 		MayOrder:    c.Domain.MayOrder,
-		MayProbe:    c.Caps.Probes,
 		MayCancel:   c.Caps.Cancel,
-		ProbeLoads:  c.Telemetry.How == "on_probe",
 		MaxLaunches: max(c.Caps.MostTries, 1),
 		KeepWarm:    c.Domain.StaysLoadedMs / 1000,
 		LoadWindow:  c.Domain.LoadWindowMs / 1000,
--- a/wire/line.go
+++ b/wire/line.go
@@ -154,8 +154,6 @@
 			r.Running, r.Known = n, r.Known|control.HasRunning
 		case "q":
 			r.Waiting, r.Known = n, r.Known|control.HasWaiting
-		case "busy":
-			r.Busy, r.Known = n, r.Known|control.HasBusy
 		}
 	}
 	return r
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -181,9 +181,6 @@
 	"HANGUP": func(s *server, i *instance, l *line) {
 		i.mod.HungUp(s.now, control.EventID(l.need("Id")))
 	},
-	"CHECKED": func(s *server, i *instance, l *line) {
-		i.mod.Probed(s.now, control.WorkerID(l.need("Worker")), l.report("Pressure"))
-	},
 	"WAKEUP": func(s *server, i *instance, l *line) {
 		i.mod.Woken(s.now, l.mark("Mark"))
 	},
@@ -223,8 +220,6 @@
 	i.say("PRELOAD", "Worker", string(wk), "Function", string(fn), "UnitsHeld", strconv.Itoa(copies))
 }
 
-func (i *instance) Probe(wk control.WorkerID) { i.say("CHECK", "Worker", string(wk)) }
-
 func (i *instance) Wake(after float64, mark uint64) {
 	i.say("NOTIFY_ME", "SleepForMs", millis(after), "Mark", strconv.FormatUint(mark, 10))
 }
