Share a function among as many workers as its fleet-wide rate fills; tell it by messages

Cause: with 80 to 240 front ends each holds next to none of a function's events, so that one copy always seemed to do and all met on the first worker by rank: most launches were turned away as full while the mean worker had room. Now a function has a width, the number of first workers by rank that share it. Where front ends may send messages, a sample of the endings is told to all (4 bytes: function, worker, time): that gives the rate of each function, where its copies are and how busy each worker is. Without messages the width grows with late answers and shrinks with early ones. Front ends that lack several copies pick among as many sites. A part of the events is deferred at once while answers come past the target time, where rooms are too coarse to bind. An order that found its copy standing starts no pause. It guards against any hot spot; a wrong rate costs memory.

--- a/control/control.go
+++ b/control/control.go
@@ -2,15 +2,15 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
-// A host makes one Router for each front end with New, then calls List, Event, Ended, Held, Started,
-// HungUp and Woken as things come in, each with the clock. Answers go out through
-// Host (types.go) before the call returns. Every call notes what it heard and then goes through two
-// ordered lists of rules, workerRules and eventRules, until none fires. The mechanism is that of
-// docs/design.md; a comment at each rule or figure says what it guards against.
+// A host makes one Router for each front end with New and calls List, Event, Ended, Held, Told and so on as
+// things come in; answers go out through Host (types.go) before the call returns. Each call notes what it
+// heard and goes through the ordered workerRules and eventRules until none fires. See docs/design.md.
 
 const (
 	overLanes   = 2.0   // own events in flight over lanes: past it a copy is overloaded
@@ -18,16 +18,11 @@
 	slowFor     = 1.0   // this long slow
 	slowCopies  = 2     // on this many functions: the worker is set aside
 	asideFor    = 2.0   // for so long; troubles of other kinds double it up to asideMost
-	asideMost   = 8.0   // against asking a dead worker too often, yet finding it soon when it is back
 	asidePart   = 0.4   // of the serving workers at most: past it all are slow, and leaving them harms
 	slowPart    = 0.05  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
 	recentPart  = 0.2   // weight of the newest latency, low against single heavy events
 	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run
 	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
-	failPart    = 0.25  // weight of the newest outcome in a worker's share of failures
-	failMost    = 0.8   // share of failures past which a worker answers fast but wrong
-	muteFor     = 20.0  // medians waited in all, with no answer since, before a worker counts as silent
-	muteLeast   = 0.6   // but not sooner, against a short pause
 	waitsMost   = 3     // load orders that an event follows, against one that fits nowhere
 	moreEvery   = 2.5   // pause before one more copy beside others, against a jam that sows copies everywhere
 	moreLost    = 120.0 // and more for the share of copies believed warm that were gone
@@ -38,34 +33,43 @@
 	roomUp      = 0.3   // added by an answer well within the target time while the room is used
 	roomCut     = 0.75  // kept after an answer past roomLate of the target time
 	roomEarly   = 0.5
+	openCut     = 0.92  // part of the events let in that is kept after an answer past the target time or none
+	openUp      = 0.02  // added after another
+	tellBytes   = 4     // size of a message to the other front ends
+	tellMost    = 200.0 // bytes that all of them may get for each launch that ended
+	tellStep    = 0.15  // steps in which a message tells a time, against a longer one
+	heardSpan   = 2.0   // span over which what was told of a worker is averaged
+	widePart    = 0.3   // weight of the newest answer in how many workers share a function
+	wideLate    = 2.0   // where answers don't tell the crowd: wanted after a late one
+	wideEarly   = 0.8   // and after an early one
+	wideRoom    = 2.0   // lanes for each event of a function that runs, against waiting for one
+	quickStep   = 0.005 // step of the latency that the quickest fifth stay under
 	roomLate    = 0.6
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
 	turnPart    = 0.7  // and of that, where front ends take turns by chance
 	coldPart    = 0.9  // part of the cold budget that is used, against rates that were misjudged
 	tick        = 0.25 // pause between looks at the clock
-	rateSpan    = 5.0  // span over which carried rates are averaged
+	rateSpan    = 3.0  // span over which carried rates are averaged
 	noRoomFor   = 0.5  // a worker that had no room is asked to load again after this
 	forgetAfter = 60.0 // functions without events are let go after this
 )
 
 type event struct {
 	Event
-	kind               *EventType
-	fn                 *function
-	due, sentAt        float64
-	mark               uint64
-	launches, waits    int // waits counts the load orders that it followed
-	wk                 int // worker of the newest launch, -1 before
-	out, streams, done bool
-	loading            bool // sent to wait for a load
-	mayRun             bool // some launch may have run; when and where the first such went:
-	runAt              float64
-	runZone            ZoneID
-	runCell            int
-}
-
-// place is one function on one worker, as this front end believes it.
+	kind            *EventType
+	fn              *function
+	due, sentAt     float64
+	mark            uint64
+	launches, waits int // waits counts the load orders that it followed
+	wk              int // worker of the newest launch, -1 before
+	out, done       bool
+	loading         bool // sent to wait for a load
+	mayRun          bool // some launch may have run; when and where the first such went:
+	runAt           float64
+	runWk           int
+}
+
 type place struct {
 	wk, out         int
 	warm            bool
@@ -74,18 +78,21 @@
 }
 
 type function struct {
-	id           FunctionID
-	hash         uint64
-	lanes, out   int     // own launches in flight
-	load, median float64 // usual time of a load, where it is told; running median of latency
-	heard        float64
-	places       []place
-	order        int // worker with a load of ours under way, -1 for none
-	orderedAt    float64
-	followers    []*event
-}
-
-// Router decides for one front end.
+	id               FunctionID
+	hash             uint64
+	lanes, out       int     // own launches in flight
+	load, median     float64 // usual time of a load, where it is told; running median of latency
+	since, heard     float64
+	places           []place
+	rate             float64 // answers a second in the whole fleet
+	width            float64 // first workers by rank that share the function's events
+	ranks            []int   // serving workers by rank, of the list's state listed
+	listed           int
+	order            int     // worker with a load of ours under way, -1 for none
+	orderedAt, pause float64 // no load beside a standing copy before the pause ends
+	followers        []*event
+}
+
 type Router struct {
 	dep   *Deployment
 	host  Host
@@ -96,8 +103,10 @@
 	marks map[uint64]*event
 	todo  []*event // to be decided
 	fns   map[FunctionID]*function
+	brief map[uint16]*function // by the short hash that messages tell
 	every []*function
 	index map[WorkerID]int
+	short map[uint32]int // workers by a short hash
 
 	id       []WorkerID
 	hash     []uint64
@@ -107,36 +116,32 @@
 	phase    []Phase
 	size     []float64
 	born     []float64
-	flying   [][]*event  // own events in flight
-	answered []float64   // newest answer
-	room     []float64   // own events that it may hold
-	cutAt    []float64   // when that was last cut
-	heard    []float64   // events held there by its newest report, less our own; -1 unheard
-	aside    []float64   // set aside until
-	strikes  []int       // troubles in a row
-	pace     []float64   // latencies over their medians in the long run
-	fails    []float64   // share of late failures
-	noRoom   []float64   // no load fits before
-	pushed   [][]float64 // launches of the current fall window, also from before a start was told
-	turn     []float64   // end of the window in which a launch to a cold worker was drawn for
-	drawn    []bool      // and whether it may still be sent
-
-	kinds   map[KindID]int
-	handled []float64 // own events handled by warm workers of the kind since the last tick
-	carried []float64 // the same each second and worker, and the most of that
-	most    []float64
-
+	flying   [][]*event // own events in flight
+	answered []float64  // newest answer
+	room     []float64  // own events that it may hold
+	cutAt    []float64  // when that was last cut
+	heard    []float64  // events held there by its newest report, less our own; -1 unheard
+	aside    []float64  // set aside until
+	pace     []float64  // latencies over their medians in the long run
+	noRoom   []float64  // no load fits before
+	turn     []float64  // parts of a launch that added up since a cold worker's start,
+	spent    []float64  // and what of it is used up
+
+	kinds                  []KindID
+	handled, carried, most []float64 // own events a warm one handled: since the tick, each second, at most
+
+	quick, open, mayTell        float64   // latency of the quickest answers; part let in; endings not yet told
 	taken, ordered              []float64 // events taken and loads ordered within the load window
 	lastTick, lost              float64
 	look                        bool // the worker rules are due
+	state                       int  // changes with the worker list
 	meanAt, meanLoad, meanHeard float64
 }
 
-// New makes the module of one front end.
 func New(dep *Deployment, seed uint64, host Host, now float64) *Router {
 	return &Router{dep: dep, host: host, now: now, x: uint32(seed), c: uint32(seed>>32)%4294957664 + 1, mark: 1,
 		evts: map[EventID]*event{}, marks: map[uint64]*event{}, fns: map[FunctionID]*function{},
-		index: map[WorkerID]int{}, kinds: map[KindID]int{}, lastTick: now}
+		brief: map[uint16]*function{}, index: map[WorkerID]int{}, short: map[uint32]int{}, lastTick: now, open: 1}
 }
 
 func (r *Router) chance(n int) int {
@@ -165,16 +170,18 @@
 		if r.phase[i] = w.Phase; w.Phase == Gone {
 			continue
 		}
-		if known && w.Born != r.born[i] {
-			// A process that started anew holds none of the copies that were seen there. Its strikes
-			// stay, against one that dies again and again.
-			r.forget(i, true)
-			r.aside[i], r.noRoom[i], r.turn[i], r.room[i] = 0, 0, 0, r.part(roomStart)
+		if !known || w.Born != r.born[i] {
+			for _, f := range r.every { // a process that started anew holds none of its copies
+				if p := f.at(i); p != nil {
+					p.warm, p.slowSince, p.recent = false, 0, 0
+				}
+			}
+			r.aside[i], r.noRoom[i], r.room[i] = 0, 0, r.part(roomStart)
+			r.turn[i], r.spent[i] = float64(r.chance(1<<20))/(1<<20), 0
 		}
-		kind, met := r.kinds[w.Kind]
-		if !met {
-			kind = len(r.kinds)
-			r.kinds[w.Kind] = kind
+		kind := slices.Index(r.kinds, w.Kind)
+		if kind < 0 {
+			kind, r.kinds = len(r.kinds), append(r.kinds, w.Kind)
 			r.handled, r.carried, r.most = append(r.handled, 0), append(r.carried, 0), append(r.most, 0)
 		}
 		r.zone[i], r.kind[i], r.cell[i], r.size[i], r.born[i] = w.Zone, kind, w.Cell, max(w.Size, 0.01), w.Born
@@ -184,41 +191,29 @@
 			r.phase[i] = Gone
 		}
 	}
-	r.look = true
+	r.look, r.state = true, r.state+1
 	r.settle()
 }
 
-// ListFailed asks again soon, against going on with a list that nobody updates.
 func (r *Router) ListFailed(now float64) { r.host.Wake(asideFor, 1) }
 
 func (r *Router) admit(id WorkerID) int {
 	r.index[id] = len(r.id)
 	r.id, r.hash = append(r.id, id), append(r.hash, hash(string(id)))
+	r.short[uint32(r.hash[len(r.id)-1]&0xfff)] = len(r.id) - 1
 	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, 0), append(r.cell, 0)
-	r.phase, r.flying, r.strikes = append(r.phase, Serving), append(r.flying, nil), append(r.strikes, 0)
-	r.room, r.heard, r.pushed = append(r.room, r.part(roomStart)), append(r.heard, -1), append(r.pushed, nil)
-	r.drawn = append(r.drawn, false)
-	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.pace, &r.aside, &r.fails,
-		&r.noRoom, &r.turn} {
+	r.phase, r.flying = append(r.phase, Serving), append(r.flying, nil)
+	r.room, r.heard = append(r.room, r.part(roomStart)), append(r.heard, -1)
+	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.pace, &r.aside,
+		&r.noRoom, &r.turn, &r.spent} {
 		*figures = append(*figures, 0)
 	}
 	return r.index[id]
 }
 
-// forget drops what is known of a worker's latencies, and of its copies too where they are lost.
-func (r *Router) forget(wk int, copies bool) {
-	for _, f := range r.every {
-		if p := f.at(wk); p != nil {
-			p.warm, p.slowSince, p.recent = p.warm && !copies, 0, 0
-		}
-	}
-}
-
 func (f *function) at(wk int) *place {
-	for i := range f.places {
-		if f.places[i].wk == wk {
-			return &f.places[i]
-		}
+	if i := slices.IndexFunc(f.places, func(p place) bool { return p.wk == wk }); i >= 0 {
+		return &f.places[i]
 	}
 	return nil
 }
@@ -242,27 +237,20 @@
 	}
 	f := r.fns[in.Function]
 	if f == nil {
-		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1}
-		r.fns[in.Function], r.every = f, append(r.every, f)
+		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1, width: 1, since: now}
+		r.fns[f.id], r.brief[uint16(f.hash)], r.every = f, f, append(r.every, f)
 	}
 	f.lanes, f.heard, f.load = max(in.Lanes, 1), now, max(in.Load, f.load)
 	r.mark++
 	e.fn, e.mark = f, r.mark
 	r.evts[e.ID], r.marks[e.mark] = e, e
-	r.taken = append(r.taken, now)
+	r.taken = append(r.within(r.taken, r.dep.LoadWindow), now)
 	// Against an event that waits here past its time: a launch would end by itself.
 	r.host.Wake(max(in.Left-r.dep.RoundGap, 0), e.mark)
 	r.todo = append(r.todo, e)
 	r.settle()
 }
 
-// Started tells that an answer has begun to stream: no max age holds from then on.
-func (r *Router) Started(now float64, id EventID) {
-	if e := r.evts[id]; e != nil {
-		e.streams = true
-	}
-}
-
 func (r *Router) HungUp(now float64, id EventID) {
 	r.now = now
 	if e := r.evts[id]; e != nil {
@@ -287,12 +275,6 @@
 	r.settle()
 }
 
-func (r *Router) reported(wk int, rep Report) {
-	if rep.Known&(HasRunning|HasWaiting) != 0 {
-		r.heard[wk] = max(rep.Running+rep.Waiting-float64(len(r.flying[wk])), 0)
-	}
-}
-
 func (r *Router) Ended(now float64, end Ending) {
 	r.now = now
 	e := r.evts[end.Event]
@@ -304,7 +286,9 @@
 	e.out = false
 	r.flying[wk] = slices.DeleteFunc(r.flying[wk], func(o *event) bool { return o == e })
 	f.out, p.out = f.out-1, p.out-1
-	r.reported(wk, end.Report)
+	if rep := end.Report; rep.Known != 0 {
+		r.heard[wk] = max(rep.Running+rep.Waiting-float64(len(r.flying[wk])), 0)
+	}
 	if end.Result == Missed || end.Warmth == BeganLoad {
 		r.lost += lostPart
 	}
@@ -317,28 +301,26 @@
 		if r.warmth(wk, r.now) >= 1 {
 			r.handled[r.kind[wk]]++
 		}
-		if r.fails[wk] *= 1 - failPart; r.fails[wk] < failMost/2 {
-			r.strikes[wk] = 0
-		}
 		if p.warm, p.seen = true, now; end.Warmth <= FoundWarm {
 			r.timed(f, p, end.Took)
 			r.resize(e, end.Took > roomLate*e.kind.TargetTime, end.Took < roomEarly*e.kind.TargetTime)
 		}
-	case Failed, Broken, Unreachable:
-		r.fails[wk] += failPart * (1 - r.fails[wk])
-		if r.fails[wk] > failMost {
-			r.strike(wk)
-		}
 	case TimedOut: // no answer is the latest of answers; unheeded, a crowded worker stays crowded
 		r.resize(e, !e.loading && end.Took > roomLate*e.kind.TargetTime, false)
 	case TurnedAway:
 		r.noRoom[wk] = now + noRoomFor
 		r.resize(e, true, false)
-	case Missed:
-		p.warm = false
+	case Missed: // it lacks the function but is no worse for it
+		p.warm, e.wk = false, -1
+	}
+	if end.Result <= TurnedAway && end.Result != Broken {
+		if !e.loading && end.Warmth <= FoundWarm {
+			r.widen(e, end)
+		}
+		r.tell(f, wk, end.Took)
 	}
 	if end.Result < TurnedAway && !e.mayRun {
-		e.mayRun, e.runAt, e.runZone, e.runCell = true, e.sentAt, r.zone[wk], r.cell[wk]
+		e.mayRun, e.runAt, e.runWk = true, e.sentAt, wk
 	}
 	switch {
 	case e.done:
@@ -354,9 +336,8 @@
 // part is this front end's share of what all of them may add to a worker.
 func (r *Router) part(all float64) float64 { return all / float64(r.dep.FrontEnds) }
 
-// resize moves the number of own events that a worker may hold, as its answers come late or early.
-// It guards against all that makes a worker do less than its fellows; a cut counts once for all that
-// was sent before it, and one event alone tells nothing of a queue.
+// resize moves how many own events a worker may hold, against all that makes it do less than its fellows. One
+// cut counts for all sent before it, and one event alone tells of no queue.
 func (r *Router) resize(e *event, late, early bool) {
 	wk := e.wk
 	switch held := float64(len(r.flying[wk])) + 1; {
@@ -368,13 +349,71 @@
 	}
 }
 
-// timed feeds a copy's latency. The paper compares with profiles of the hardware: where kinds of worker
-// differ in speed, one that is always slow is no slower than its profile.
+// widen moves the number of workers that share a function's events. Among many front ends each holds next to
+// none of them, and by its own count one copy would always do: all would meet on the first worker by rank.
+func (r *Router) widen(e *event, end Ending) {
+	late := end.Result == TurnedAway || end.Took > roomLate*e.kind.TargetTime
+	if r.open = min(r.open+openUp, 1); end.Result == TurnedAway || end.Took > e.kind.TargetTime {
+		r.open *= openCut
+	}
+	if end.Result == Handled && (end.Took < r.quick || r.quick == 0) {
+		r.quick = max(r.quick/(1+4*quickStep), end.Took/2)
+	} else if end.Result == Handled {
+		r.quick *= 1 + quickStep
+	}
+	switch {
+	case r.dep.MayTell && e.launches == 1:
+		r.counted(e.fn, 1)
+	case r.dep.MayTell:
+	case late:
+		e.fn.width += widePart * (wideLate - 1) * e.fn.width
+	case end.Took < roomEarly*e.kind.TargetTime:
+		e.fn.width = max(e.fn.width*(1-widePart*(1-wideEarly)), 1)
+	}
+	e.fn.width = min(e.fn.width, float64(len(r.id)))
+}
+
+// counted notes answers. What waits does not count: a crowded fleet would spread them until none fits.
+func (r *Router) counted(f *function, answers float64) {
+	f.rate += answers / rateSpan
+	f.width = max(f.rate*r.quick*wideRoom/float64(f.lanes), 1)
+}
+
+func (r *Router) told() float64 { return max(float64(tellBytes*(r.dep.FrontEnds-1))/tellMost, 1) }
+
+func (r *Router) tell(f *function, wk int, took float64) {
+	if r.mayTell = min(r.mayTell+1, 2*r.told()); !r.dep.MayTell || r.mayTell < r.told() || r.dep.FrontEnds < 2 {
+		return
+	}
+	r.mayTell -= r.told()
+	m := uint32(uint16(f.hash)) | uint32(r.hash[wk]&0xfff)<<16 | uint32(min(took/tellStep, 15))<<28
+	r.host.Tell(binary.LittleEndian.AppendUint32(nil, m))
+}
+
+// Told takes what another front end tells. It only moves beliefs: one that is wrong costs a miss.
+func (r *Router) Told(now float64, message []byte) {
+	r.now = now
+	if len(message) != tellBytes {
+		return
+	}
+	m := binary.LittleEndian.Uint32(message)
+	wk, known := r.short[m>>16&0xfff]
+	if !known || r.phase[wk] != Serving {
+		return
+	}
+	r.heard[wk] = max(r.heard[wk], 0) + r.told()*(float64(m>>28)+0.5)*tellStep/heardSpan
+	if f := r.brief[uint16(m)]; f != nil {
+		p := f.make(wk)
+		p.warm, p.seen = true, now
+		r.counted(f, r.told())
+	}
+}
+
 func (r *Router) timed(f *function, p *place, took float64) {
 	if f.median == 0 {
 		f.median = took
 	}
-	if p.recent == 0 {
+	if p.recent == 0 { // one heavy event does not make a copy slow
 		p.recent = min(took, f.median)
 	}
 	if f.median *= medianStep; took < f.median {
@@ -382,6 +421,7 @@
 	}
 	p.recent += recentPart * (took - p.recent)
 	p.timedAt = r.now
+	// A worker that is always slow is no slower than its profile would be.
 	r.pace[p.wk] += pacePart * (took/f.median - r.pace[p.wk])
 	if p.recent <= r.usual(f, p) {
 		p.slowSince = 0
@@ -390,21 +430,13 @@
 	}
 }
 
-// strike sets a bad worker aside, for twice as long each time until it does well.
-func (r *Router) strike(wk int) {
-	r.leave(wk, min(asideFor*float64(int(1)<<min(r.strikes[wk], 8)), asideMost), asidePart)
-	r.strikes[wk]++
-}
-
 // leave sets a worker aside, unless so many are that the trouble can't be theirs.
-func (r *Router) leave(wk int, span, most float64) bool {
+func (r *Router) leave(wk int, most float64) bool {
 	kept := r.mean(func(k int) (float64, bool) { return float64(max(cmp.Compare(r.aside[k], r.now), 0)), true })
-	if kept >= most {
-		return false
+	if kept < most {
+		r.aside[wk] = r.now + asideFor
 	}
-	r.aside[wk] = r.now + span
-	r.forget(wk, false)
-	return true
+	return kept < most
 }
 
 func (r *Router) Held(now float64, id WorkerID, fn FunctionID, res Result, copies int, took float64) {
@@ -415,7 +447,9 @@
 	}
 	if copies > 0 {
 		p := f.make(wk)
-		p.warm, p.seen = true, now
+		if p.warm, p.seen = true, now; took < tick { // it stood, or was all but there: the store had no work
+			f.pause = now
+		}
 	} else if res == TurnedAway {
 		r.noRoom[wk] = now + noRoomFor
 	}
@@ -426,7 +460,6 @@
 	r.settle()
 }
 
-// follow lets the events that waited for an order be decided anew.
 func (r *Router) follow(f *function) {
 	f.order = -1
 	r.todo = append(r.todo, f.followers...)
@@ -442,7 +475,7 @@
 }
 
 // giveUp answers at once: deferred where a repeat is proven harmless, else dead-lettered.
-func (r *Router) giveUp(e *event) {
+func (r *Router) giveUp(e *event) bool {
 	if !e.mayRun || e.kind.Repeat == Redeliverable ||
 		e.kind.Repeat == Keyed && e.kind.Reach == ReachAll && r.now < e.runAt+e.kind.Remembered {
 		r.host.Defer(e.ID, r.dep.MaxPause/2)
@@ -450,15 +483,23 @@
 		r.host.DeadLetter(e.ID)
 	}
 	r.finish(e)
+	return true
 }
 
-// age does what only the clock brings about.
 func (r *Router) age() {
 	span := max(r.now-r.lastTick, tick/2)
 	r.lastTick = r.now
+	for _, f := range r.every {
+		f.rate *= 1 - min(span/rateSpan, 1)
+	}
 	warm := make([]float64, len(r.most))
 	for wk, kind := range r.kind {
-		if r.phase[wk] == Serving && r.warmth(wk, r.now) >= 1 {
+		if r.dep.MayTell { // reports stand until the next; what peers told fades
+			r.heard[wk] = max(r.heard[wk], 0) * (1 - min(span/heardSpan, 1))
+		}
+		if r.warmth(wk, r.now) < 1 {
+			r.turn[wk] += turnPart * r.coldBudget(wk) * span / r.dep.FallWindow
+		} else if r.phase[wk] == Serving {
 			warm[kind]++
 		}
 	}
@@ -473,20 +514,16 @@
 		idle := f.order < 0 && f.out == 0 && r.now-f.heard > forgetAfter
 		if idle {
 			delete(r.fns, f.id)
+			delete(r.brief, uint16(f.hash))
 		}
 		return idle
 	})
-	r.taken, r.ordered = r.within(r.taken, r.dep.LoadWindow), r.within(r.ordered, r.dep.LoadWindow)
 }
 
 func (r *Router) within(times []float64, span float64) []float64 {
-	for len(times) > 0 && times[0] <= r.now-span {
-		times = times[1:]
-	}
-	return times
+	return slices.DeleteFunc(times, func(at float64) bool { return at <= r.now-span })
 }
 
-// mean is the mean of a figure over the serving workers for which it is known, 0 where there are none.
 func (r *Router) mean(figure func(wk int) (float64, bool)) float64 {
 	sum, n := 0.0, 0.0
 	for wk := range r.id {
@@ -505,32 +542,21 @@
 	return r.dep.ColdShare + (1-r.dep.ColdShare)*max(at-r.born[wk], 0)/r.dep.WarmWithin
 }
 
-// coldBudget is the number of launches that this front end may add to a cold worker in a fall window. Its
-// capacity is not told; what a warm worker of its kind handles for this front end is a part of that, and the
-// parts of all front ends add up to no more than the whole. So no front end needs to know of the others.
-// The most in the past counts: in a rollout soon none is warm, and a budget from what cold workers carry
-// would shrink itself.
+// coldBudget is how many launches this front end may add to a cold worker in a fall window. Capacity is not
+// told; what a warm worker of the kind handled for this front end, at most, is part of it; the parts of all
+// add up to no more than the whole. What cold workers carry would shrink the budget itself.
 func (r *Router) coldBudget(wk int) float64 {
-	start := max(r.now-r.dep.FallWindow, r.born[wk])
-	return coldPart * r.dep.FallFactor * r.warmth(wk, start) * r.dep.FallWindow * r.most[r.kind[wk]]
+	part := coldPart * r.dep.FallFactor * r.warmth(wk, max(r.now-r.dep.FallWindow, r.born[wk]))
+	return max(part*r.dep.FallWindow*r.most[r.kind[wk]], 1/float64(r.dep.FrontEnds))
 }
 
-// coldRoom tells whether one more launch keeps a cold worker's budget.
-func (r *Router) coldRoom(wk int) bool {
-	if r.warmth(wk, r.now) >= 1 {
-		return true
-	}
-	r.pushed[wk] = r.within(r.pushed[wk], r.dep.FallWindow)
-	budget := r.coldBudget(wk)
-	if budget >= 1 || r.dep.FrontEnds == 1 {
-		return float64(len(r.pushed[wk])+1) <= max(budget, 1)
-	}
-	// Against a hundred front ends that may send one each: of a budget under one each draws for a turn, anew
-	// in every window, so that turns not taken can't pile up.
-	if r.now >= r.turn[wk] {
-		r.turn[wk], r.drawn[wk] = r.now+r.dep.FallWindow, float64(r.chance(1<<20)) < budget*turnPart*(1<<20)
-	}
-	return r.drawn[wk]
+// coldRoom tells whether one more launch keeps a cold worker's budget. Against a hundred front ends that send
+// one each, budgets add up to turns, from a start left to chance. A function hardly heard of may be hot at
+// all of them: with a budget under one it gets no turn that was saved up.
+func (r *Router) coldRoom(f *function, wk int) bool {
+	turn := r.turn[wk]
+	return r.warmth(wk, r.now) >= 1 || turn-r.spent[wk] >= 1 &&
+		(r.now > f.since+r.dep.KeepWarm || turn-math.Floor(turn) < turnPart*r.coldBudget(wk))
 }
 
 // load is how busy a worker is believed to be, for its size; workers unheard of count as average.
@@ -542,34 +568,22 @@
 	return (float64(len(r.flying[wk])+1) + heard) / (r.size[wk] * r.warmth(wk, r.now))
 }
 
-// survey takes the means over the fleet, once for each moment.
-func (r *Router) survey() {
-	if r.meanAt == r.now {
-		return
-	}
-	r.meanAt = r.now
-	r.meanHeard = r.mean(func(k int) (float64, bool) { return r.heard[k], r.heard[k] >= 0 })
-	r.meanLoad = r.mean(func(k int) (float64, bool) { return r.load(k), true })
-}
-
-// may tells whether the rules let the event go to the worker at all.
 func (r *Router) may(e *event, wk int) bool {
-	if r.phase[wk] != Serving || !r.coldRoom(wk) {
+	if r.phase[wk] != Serving || !r.coldRoom(e.fn, wk) {
 		return false
 	}
 	if !e.mayRun || e.kind.Repeat == Redeliverable {
 		return true
 	}
-	zone := r.zone[wk] == e.runZone
-	group := e.kind.Reach == ReachAll || zone && (e.kind.Reach == ReachZone || r.cell[wk] == e.runCell)
+	zone := r.zone[wk] == r.zone[e.runWk]
+	group := e.kind.Reach == ReachAll || zone && (e.kind.Reach == ReachZone || r.cell[wk] == r.cell[e.runWk])
 	return group && e.kind.Repeat == Keyed && r.now < e.runAt+e.kind.Remembered
 }
 
-// fit tells whether a worker is in good health and has room.
 func (r *Router) fit(wk int) bool {
 	held := 0
 	for _, e := range r.flying[wk] {
-		if !e.loading { // against a slow store that would close its workers to their warm copies
+		if !e.loading || e.fn.order != wk { // against a slow store that closes its workers
 			held++
 		}
 	}
@@ -582,32 +596,31 @@
 	return h.Sum64()
 }
 
-// rank orders the workers for a function, alike at every front end, so that front ends which never
-// speak to each other keep its copies in the same few places. Highest comes first, and last the worker
-// that just lost the event.
-func (r *Router) rank(e *event, wk int) uint64 {
-	if wk == e.wk {
-		return 0
+// ranked lists the serving workers for a function in an order alike at every front end, so that all keep its
+// copies in the same few places. Last comes the worker that just lost the event.
+func (r *Router) ranked(e *event) []int {
+	f := e.fn
+	if f.listed != r.state {
+		f.listed, f.ranks = r.state, f.ranks[:0]
+		for wk := range r.id {
+			if r.phase[wk] == Serving {
+				f.ranks = append(f.ranks, wk)
+			}
+		}
+		slices.SortFunc(f.ranks, func(a, b int) int { return cmp.Compare(r.mix(f, b), r.mix(f, a)) })
 	}
-	x := e.fn.hash ^ r.hash[wk]
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	if i := slices.Index(f.ranks, e.wk); i >= 0 {
+		return append(slices.Delete(slices.Clone(f.ranks), i, i+1), e.wk)
+	}
+	return f.ranks
 }
 
-// ranked lists the workers that pass, by rank.
-func (r *Router) ranked(e *event, pass func(wk int, p *place) bool) []int {
-	var list []int
-	for wk := range r.id {
-		if r.fit(wk) && r.may(e, wk) && pass(wk, e.fn.at(wk)) {
-			list = append(list, wk)
-		}
-	}
-	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(r.rank(e, b), r.rank(e, a)) })
-	return list
+func (r *Router) mix(f *function, wk int) uint64 {
+	x := f.hash ^ r.hash[wk]
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	return (x ^ x>>33) * 0xc4ceb9fe1a85ec53
 }
 
-// least picks the least-loaded of a list, ties at random.
 func (r *Router) least(list []int) int {
 	best, low, ties := -1, 0.0, 0
 	for _, wk := range list {
@@ -627,48 +640,47 @@
 	return p != nil && p.warm && (p.out > 0 || r.now < p.seen+r.dep.KeepWarm)
 }
 
-// standing tells whether a warm copy is known on a worker that is in use, with room or without.
-func (r *Router) standing(f *function) bool {
-	return slices.ContainsFunc(f.places, func(p place) bool {
-		return r.warm(&p) && r.phase[p.wk] == Serving && r.aside[p.wk] <= r.now
-	})
-}
-
-// slow is the design's latency test. A copy that is passed over gets no new figures, so an old one
-// must not keep it out for good, nor one heavy event an idle copy.
+// slow is the design's latency test. An old figure must not keep a copy out for good, nor an idle copy.
 func (r *Router) slow(f *function, p *place) bool {
 	return p.out > 0 && r.now-p.timedAt < slowFor && p.recent > r.usual(f, p)
 }
 
-// usual is the latency past which a copy is slow.
 func (r *Router) usual(f *function, p *place) float64 {
 	return overMedian * f.median * max(r.pace[p.wk], 1)
 }
 
-// bestWarm is the least-loaded of the warm copies in use: the first by rank, as many as the events in
-// flight fill. Spread over all copies, events would keep each alive and crowd the memory with them.
-func (r *Router) bestWarm(e *event, strict bool) int {
-	list := r.ranked(e, func(wk int, p *place) bool {
-		return r.warm(p) && !(strict && (float64(p.out) >= overLanes*float64(e.fn.lanes) || r.slow(e.fn, p)))
-	})
-	return r.least(list[:min(len(list), 1+e.fn.out/e.fn.lanes)])
+// bestWarm is the least-loaded of the warm copies in use: the first by rank, as many as our events in flight
+// or the width call for; events over all copies would keep each alive. It tells how many are lacking.
+func (r *Router) bestWarm(e *event, strict bool) (wk, short int) {
+	f, wide := e.fn, int(math.Ceil(e.fn.width))
+	var list []int
+	for _, wk := range r.ranked(e) {
+		p := f.at(wk)
+		if !r.warm(p) || wk == e.wk && len(list) > 0 || !r.fit(wk) || !r.may(e, wk) ||
+			strict && (float64(p.out) >= overLanes*float64(f.lanes) || r.slow(f, p)) {
+			continue
+		}
+		if list = append(list, wk); len(list) >= max(wide, 1+f.out/f.lanes) {
+			break
+		}
+	}
+	return r.least(list), wide - len(list)
 }
 
-func (r *Router) launch(e *event, wk int, loading bool) bool {
+func (r *Router) launch(e *event, wk int) bool {
 	if wk < 0 {
 		return false
 	}
-	e.wk, e.sentAt, e.out, e.loading = wk, r.now, true, loading
+	e.wk, e.sentAt, e.out, e.loading = wk, r.now, true, !r.warm(e.fn.at(wk))
 	e.launches, e.fn.out = e.launches+1, e.fn.out+1
 	e.fn.make(wk).out++
 	r.flying[wk] = append(r.flying[wk], e)
-	r.pushed[wk] = append(r.within(r.pushed[wk], r.dep.FallWindow), r.now)
-	r.drawn[wk] = false
+	// What was saved up is kept in part only, so that no window gets more than its budget.
+	r.spent[wk] = max(r.spent[wk]+1, r.turn[wk]-(1-turnPart)*r.coldBudget(wk))
 	r.host.Launch(e.ID, r.id[wk], e.due-r.now)
 	return true
 }
 
-// mayOrder keeps the ration of load orders, where one is stated.
 func (r *Router) mayOrder() bool {
 	if !r.dep.MayOrder || r.dep.LoadWindow <= 0 {
 		return r.dep.MayOrder
@@ -678,19 +690,32 @@
 }
 
 // loadSite is the first worker by rank that does not carry well more than the mean, else the least-loaded.
-func (r *Router) loadSite(e *event) int {
-	list := r.ranked(e, func(wk int, p *place) bool { return r.noRoom[wk] <= r.now && !r.warm(p) })
-	for _, wk := range list {
+// Where several more are called for, one of that many, so that front ends don't load one after another.
+func (r *Router) loadSite(e *event, more int) int {
+	var list, free []int
+	for _, wk := range r.ranked(e) {
+		if r.noRoom[wk] > r.now || r.warm(e.fn.at(wk)) || !r.fit(wk) || !r.may(e, wk) {
+			continue
+		}
+		list = append(list, wk)
 		if r.load(wk) <= busyMean*r.meanLoad+busyMore/r.size[wk] && wk != e.wk {
-			return wk
+			if free = append(free, wk); len(free) >= more {
+				break
+			}
 		}
 	}
-	return r.least(list)
+	if len(free) == 0 {
+		return r.least(list)
+	}
+	return free[r.chance(len(free))]
 }
 
-// settle goes through the rules until none fires.
 func (r *Router) settle() {
-	r.survey()
+	if r.meanAt != r.now {
+		r.meanAt = r.now
+		r.meanHeard = r.mean(func(k int) (float64, bool) { return r.heard[k], r.heard[k] >= 0 })
+		r.meanLoad = r.mean(func(k int) (float64, bool) { return r.load(k), true })
+	}
 	for fired := true; fired; {
 		fired = false
 		for wk := 0; r.look && wk < len(r.id); wk++ {
@@ -715,43 +740,20 @@
 	func(r *Router, wk int) bool {
 		n := 0
 		for _, f := range r.every {
-			// Slow answers must span the time: after a single one nothing more may have been sent.
-			if p := f.at(wk); p != nil && p.slowSince > 0 && p.timedAt-p.slowSince >= slowFor {
+			p := f.at(wk) // slow answers must span the time: after one nothing more may have been sent
+			if p != nil && p.slowSince > 0 && p.timedAt-p.slowSince >= slowFor && r.now-p.timedAt < slowFor {
 				n++
 			}
 		}
-		return n >= slowCopies && r.aside[wk] <= r.now && r.leave(wk, asideFor, slowPart)
-	},
-	// A silent worker must not hold events to their end while another could still handle them. Waits
-	// are added up in medians, so that one heavy event on a live worker is not taken for silence.
-	func(r *Router, wk int) bool {
-		waits, longest := 0.0, 0.0
-		for _, e := range r.flying[wk] {
-			if e.sentAt > r.answered[wk] && !e.loading && !e.streams {
-				waits += (r.now - e.sentAt) / max(e.fn.median, muteLeast/muteFor)
-				longest = max(longest, r.now-e.sentAt)
-			}
-		}
-		if waits < muteFor || longest < muteLeast || r.aside[wk] > r.now {
-			return false
-		}
-		// From here on only new silence counts.
-		r.answered[wk] = r.now
-		r.strike(wk)
-		for _, e := range r.flying[wk] {
-			if r.dep.MayCancel && !e.streams && e.kind.Repeat == Redeliverable && e.launches < r.dep.MaxLaunches {
-				r.host.Cancel(e.ID, e.launches-1)
-			}
-		}
-		return true
+		return n >= slowCopies && r.aside[wk] <= r.now && r.leave(wk, slowPart)
 	},
-	// A load on a worker that drained, left or keeps silent is not waited for. One that answers other
-	// things meanwhile has a slow store behind it, and one more load elsewhere would crowd that more.
+	// A load on a worker that drained, left or keeps silent is not waited for. One that answers meanwhile has a
+	// slow store behind it, and one more load elsewhere would crowd that more.
 	func(r *Router, wk int) (fired bool) {
 		for _, f := range r.every {
 			lost := f.order == wk && r.now-max(f.orderedAt, r.answered[wk]) > limitLoads*max(f.load, 1)
 			if lost {
-				r.strike(wk)
+				r.leave(wk, asidePart)
 			}
 			if lost || f.order == wk && r.phase[wk] != Serving {
 				r.follow(f)
@@ -767,29 +769,32 @@
 	// No launch can help: its time is up, its tries are used, or it may have run and must not again.
 	func(r *Router, e *event) bool {
 		spent := r.now >= e.due-r.dep.RoundGap || e.launches >= r.dep.MaxLaunches
-		spent = spent || e.mayRun && e.kind.Repeat == AtMostOnce
-		if spent {
-			r.giveUp(e)
-		}
-		return spent
+		return (spent || e.mayRun && e.kind.Repeat == AtMostOnce) && r.giveUp(e)
 	},
-	// The ordinary path: the least-loaded warm copy that is not overloaded.
-	func(r *Router, e *event) bool { return r.launch(e, r.bestWarm(e, true), false) },
-	// None passes: one load at a time for each function, on the least-utilized worker.
+	// Answers come late or not at all for lack of room, and every front end holds too little for rooms to bind:
+	// a part is deferred at once, against a crowd that only works for clients who have left.
 	func(r *Router, e *event) bool {
-		soon := r.now-e.fn.orderedAt < moreEvery+moreLost*r.lost && r.standing(e.fn)
-		if e.fn.order >= 0 || e.waits >= waitsMost || soon || !r.mayOrder() {
-			return false
+		first := e.launches == 0 && e.waits == 0
+		return first && r.part(roomStart) < 1 && float64(r.chance(1<<20)) > r.open*(1<<20) && r.giveUp(e)
+	},
+	// The ordinary path: the least-loaded warm copy that is not overloaded. Where too few pass, one load at a
+	// time for each function, on the least-utilized worker; meanwhile the least-loaded warm copy takes it.
+	func(r *Router, e *event) bool {
+		wk, short := r.bestWarm(e, true)
+		standing := func(p place) bool { return r.warm(&p) && r.phase[p.wk] == Serving && r.aside[p.wk] <= r.now }
+		soon := r.now < e.fn.pause && slices.ContainsFunc(e.fn.places, standing) // with room or without
+		if (wk < 0 || short > 0) && e.fn.order < 0 && e.waits < waitsMost && !soon && r.mayOrder() {
+			if site := r.loadSite(e, short); site >= 0 {
+				e.fn.order, e.fn.orderedAt, e.fn.pause = site, r.now, r.now+moreEvery+moreLost*r.lost
+				r.ordered = append(r.within(r.ordered, r.dep.LoadWindow), r.now)
+				r.host.Hold(r.id[site], e.fn.id, 1)
+			}
 		}
-		if wk := r.loadSite(e); wk >= 0 {
-			e.fn.order, e.fn.orderedAt = wk, r.now
-			r.ordered = append(r.ordered, r.now)
-			r.host.Hold(r.id[wk], e.fn.id, 1)
+		if wk < 0 {
+			wk, _ = r.bestWarm(e, false)
 		}
-		return false
+		return r.launch(e, wk)
 	},
-	// Meanwhile the least-loaded warm copy takes it, overloaded or not.
-	func(r *Router, e *event) bool { return r.launch(e, r.bestWarm(e, false), false) },
 	// Else the loading worker, once the order has surely reached it; else it waits for the answer.
 	func(r *Router, e *event) bool {
 		wk := e.fn.order
@@ -797,7 +802,7 @@
 			return false
 		}
 		if r.now-e.fn.orderedAt > 4*r.dep.RoundGap && r.may(e, wk) && r.fit(wk) && wk != e.wk {
-			return r.launch(e, wk, true)
+			return r.launch(e, wk)
 		}
 		e.waits++
 		e.fn.followers = append(e.fn.followers, e)
@@ -805,12 +810,8 @@
 	},
 	// Without orders a worker loads what it is sent, where the deployment's workers do that.
 	func(r *Router, e *event) bool {
-		return !r.dep.MissAnswers && !r.mayOrder() && r.launch(e, r.loadSite(e), true)
-	},
-	// Nobody has room. A queue here would only make all of it late; told at once, a client can come
-	// back in time.
-	func(r *Router, e *event) bool {
-		r.giveUp(e)
-		return true
+		return !r.dep.MissAnswers && !r.mayOrder() && r.launch(e, r.loadSite(e, 1))
 	},
+	// Nobody has room. A queue here would make all of it late; told at once, a client can come back in time.
+	func(r *Router, e *event) bool { return r.giveUp(e) },
 }
--- a/control/types.go
+++ b/control/types.go
@@ -53,7 +53,7 @@
 	Asked       bool // the worker list must be asked for
 	MissAnswers bool // a worker without the function answers a miss instead of loading it
 	MayOrder    bool
-	MayCancel   bool
+	MayTell     bool // front ends may send each other messages
 	MaxLaunches int
 	MaxPause    float64 // longest wait that a deferred client heeds; 0 where it is told none
 	KeepWarm    float64 // shortest time that an idle copy stays
@@ -158,8 +158,8 @@
 	Launch(evt EventID, wk WorkerID, limit float64)
 	Defer(evt EventID, pause float64)
 	DeadLetter(evt EventID)
-	Cancel(evt EventID, launch int)
 	Hold(wk WorkerID, fn FunctionID, copies int)
+	Tell(message []byte) // to every other front end
 	Wake(after float64, mark uint64)
 	Subscribe()
 }
--- a/wire/conf.go
+++ b/wire/conf.go
@@ -14,9 +14,9 @@
 	}
 	Balancers int
 	Caps      struct {
-		Cancel, RetryAfter bool
-		MaxRetryAfterMs    float64
-		MostTries          int
+		Peers, RetryAfter bool
+		MaxRetryAfterMs   float64
+		MostTries         int
 	}
 	Classes []struct {
 		Name, Idempotency, Group      string
@@ -52,7 +52,7 @@
 		Asked:       c.Discovery == "subscribe",
 		MissAnswers: c.Domain.WhenAbsent == "miss",
 		MayOrder:    c.Domain.MayOrder,
-		MayCancel:   c.Caps.Cancel,
+		MayTell:     c.Caps.Peers,
 		MaxLaunches: max(c.Caps.MostTries, 1),
 		KeepWarm:    c.Domain.StaysLoadedMs / 1000,
 		LoadWindow:  c.Domain.LoadWindowMs / 1000,
--- a/wire/serve.go
+++ b/wire/serve.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -171,9 +172,6 @@
 		}
 		i.mod.Ended(s.now, end)
 	},
-	"HEAD_RECEIVED": func(s *server, i *instance, l *line) {
-		i.mod.Started(s.now, control.EventID(l.need("Id")))
-	},
 	"BROUGHT_UP": func(s *server, i *instance, l *line) {
 		i.mod.Held(s.now, control.WorkerID(l.need("Worker")), control.FunctionID(l.need("Function")),
 			pick(l, "Rc", results), l.whole("UnitsHeld"), l.seconds("DelaySeenMs"))
@@ -181,6 +179,13 @@
 	"HANGUP": func(s *server, i *instance, l *line) {
 		i.mod.HungUp(s.now, control.EventID(l.need("Id")))
 	},
+	"PEER_DATA": func(s *server, i *instance, l *line) {
+		octets, err := base64.StdEncoding.DecodeString(strings.TrimPrefix(l.need("Octets"), "-"))
+		if err != nil {
+			panic(fault{l.no, "Octets", err.Error()})
+		}
+		i.mod.Told(s.now, octets)
+	},
 	"WAKEUP": func(s *server, i *instance, l *line) {
 		i.mod.Woken(s.now, l.mark("Mark"))
 	},
@@ -212,14 +217,14 @@
 
 func (i *instance) DeadLetter(evt control.EventID) { i.say("SURRENDER", "Id", string(evt)) }
 
-func (i *instance) Cancel(evt control.EventID, launch int) {
-	i.say("RETRACT", "Id", string(evt), "Leg", strconv.Itoa(launch))
-}
-
 func (i *instance) Hold(wk control.WorkerID, fn control.FunctionID, copies int) {
 	i.say("PRELOAD", "Worker", string(wk), "Function", string(fn), "UnitsHeld", strconv.Itoa(copies))
 }
 
+func (i *instance) Tell(message []byte) {
+	i.say("POST", "Whom", "*", "Octets", base64.StdEncoding.EncodeToString(message))
+}
+
 func (i *instance) Wake(after float64, mark uint64) {
 	i.say("NOTIFY_ME", "SleepForMs", millis(after), "Mark", strconv.FormatUint(mark, 10))
 }
