Overloaded by its worker's load, too; functions widen faster where nobody tells

Now a copy on a worker well above the mean load is overloaded too and the bound is one event closer; a late answer widens by half. It guards against neighbours and slow machines as well; where few events are told the load is noise and may cost loads.

--- a/control/control.go
+++ b/control/control.go
@@ -39,14 +39,13 @@
 	tellMost    = 200.0 // bytes that all of them may get for each launch that ended
 	tellStep    = 0.15  // steps in which a message tells a time, against a longer one
 	heardSpan   = 2.0   // span over which what was told of a worker is averaged
-	widePart    = 0.3   // weight of the newest answer in how many workers share a function
-	wideLate    = 2.0   // where answers don't tell the crowd: wanted after a late one
-	wideEarly   = 0.8   // and after an early one
+	wideLate    = 1.5   // without messages: a late answer widens a function by this
+	wideEarly   = 0.93  // and an early one narrows it by this
 	wideRoom    = 2.0   // lanes for each event of a function that runs, against waiting for one
 	quickStep   = 0.005 // step of the latency that the quickest fifth stay under
 	roomLate    = 0.6
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
-	busyMore    = 2.0  // and this many events more, against calling an idle fleet's noise busy
+	busyMore    = 1.0  // and this many events more, against calling an idle fleet's noise busy
 	turnPart    = 0.7  // and of that, where front ends take turns by chance
 	coldPart    = 0.9  // part of the cold budget that is used, against rates that were misjudged
 	tick        = 0.25 // pause between looks at the clock
@@ -366,9 +365,9 @@
 		r.counted(e.fn, 1)
 	case r.dep.MayTell:
 	case late:
-		e.fn.width += widePart * (wideLate - 1) * e.fn.width
+		e.fn.width *= wideLate
 	case end.Took < roomEarly*e.kind.TargetTime:
-		e.fn.width = max(e.fn.width*(1-widePart*(1-wideEarly)), 1)
+		e.fn.width = max(e.fn.width*wideEarly, 1)
 	}
 	e.fn.width = min(e.fn.width, float64(len(r.id)))
 }
@@ -568,6 +567,8 @@
 	return (float64(len(r.flying[wk])+1) + heard) / (r.size[wk] * r.warmth(wk, r.now))
 }
 
+func (r *Router) busy(wk int) bool { return r.load(wk) > busyMean*r.meanLoad+busyMore/r.size[wk] }
+
 func (r *Router) may(e *event, wk int) bool {
 	if r.phase[wk] != Serving || !r.coldRoom(e.fn, wk) {
 		return false
@@ -657,7 +658,7 @@
 	for _, wk := range r.ranked(e) {
 		p := f.at(wk)
 		if !r.warm(p) || wk == e.wk && len(list) > 0 || !r.fit(wk) || !r.may(e, wk) ||
-			strict && (float64(p.out) >= overLanes*float64(f.lanes) || r.slow(f, p)) {
+			strict && (float64(p.out) >= overLanes*float64(f.lanes) || r.slow(f, p) || r.busy(wk)) {
 			continue
 		}
 		if list = append(list, wk); len(list) >= max(wide, 1+f.out/f.lanes) {
@@ -698,7 +699,7 @@
 			continue
 		}
 		list = append(list, wk)
-		if r.load(wk) <= busyMean*r.meanLoad+busyMore/r.size[wk] && wk != e.wk {
+		if !r.busy(wk) && wk != e.wk {
 			if free = append(free, wk); len(free) >= more {
 				break
 			}
