Keep a reserve before events are deferred; tell a quarter fewer endings

The part let in may now stand at 1.4, so that only a run of late answers shuts anybody out. Messages: 150 bytes for an ending instead of 200. A sudden crowd is shut out a little later.

--- a/control/control.go
+++ b/control/control.go
@@ -35,8 +35,9 @@
 	roomEarly   = 0.5
 	openCut     = 0.85  // part of the events let in that is kept after an answer past the target time or none
 	openUp      = 0.04  // added after another
+	openMost    = 1.4   // up to this, against single late answers on a quiet day
 	tellBytes   = 4     // size of a message to the other front ends
-	tellMost    = 200.0 // bytes that all of them may get for each launch that ended
+	tellMost    = 150.0 // bytes that all of them may get for each launch that ended
 	tellStep    = 0.15  // steps in which a message tells a time, against a longer one
 	heardSpan   = 2.0   // span over which what was told of a worker is averaged
 	wideLate    = 1.5   // without messages: a late answer widens a function by this
@@ -140,7 +141,7 @@
 func New(dep *Deployment, seed uint64, host Host, now float64) *Router {
 	return &Router{dep: dep, host: host, now: now, x: uint32(seed), c: uint32(seed>>32)%4294957664 + 1, mark: 1,
 		evts: map[EventID]*event{}, marks: map[uint64]*event{}, fns: map[FunctionID]*function{},
-		brief: map[uint16]*function{}, index: map[WorkerID]int{}, short: map[uint32]int{}, lastTick: now, open: 1}
+		brief: map[uint16]*function{}, index: map[WorkerID]int{}, short: map[uint32]int{}, lastTick: now, open: openMost}
 }
 
 func (r *Router) chance(n int) int {
@@ -355,7 +356,7 @@
 	if end.Result == TurnedAway || end.Result == Handled && end.Took > e.kind.TargetTime {
 		r.open *= openCut
 	} else if end.Result == Handled { // a lost answer tells nothing of a crowd
-		r.open = min(r.open+openUp, 1)
+		r.open = min(r.open+openUp, openMost)
 	}
 	if r.quick *= 1 + quickStep; end.Result == Handled && (end.Took < r.quick || r.quick == 0) {
 		r.quick = max(r.quick/(1+5*quickStep), end.Took/2)
