A turn at a cold worker that is not taken soon is lost

A turn is now kept for 1.25 fall windows, for all functions alike. It guards against any rush on a new worker; after long quiet a cold worker fills more slowly.

--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,7 @@
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 1.0  // and this many events more, against calling an idle fleet's noise busy
 	turnPart    = 0.7  // and of that, where front ends take turns by chance
+	turnKept    = 1.25 // fall windows for which a turn is kept
 	coldPart    = 0.9  // part of the cold budget that is used, against rates that were misjudged
 	tick        = 0.25 // pause between looks at the clock
 	rateSpan    = 3.0  // span over which carried rates are averaged
@@ -82,7 +83,7 @@
 	hash             uint64
 	lanes, out       int     // own launches in flight
 	load, median     float64 // usual time of a load, where it is told; running median of latency
-	since, heard     float64
+	heard            float64
 	places           []place
 	rate             float64 // answers a second in the whole fleet
 	width            float64 // first workers by rank that share the function's events
@@ -237,7 +238,7 @@
 	}
 	f := r.fns[in.Function]
 	if f == nil {
-		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1, width: 1, since: now}
+		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1, width: 1}
 		r.fns[f.id], r.brief[uint16(f.hash)], r.every = f, f, append(r.every, f)
 	}
 	f.lanes, f.heard, f.load = max(in.Lanes, 1), now, max(in.Load, f.load)
@@ -333,7 +334,6 @@
 	r.settle()
 }
 
-// part is this front end's share of what all of them may add to a worker.
 func (r *Router) part(all float64) float64 { return all / float64(r.dep.FrontEnds) }
 
 // resize moves how many own events a worker may hold, against all that makes it do less than its fellows. One
@@ -547,12 +547,12 @@
 }
 
 // coldRoom tells whether one more launch keeps a cold worker's budget. Against a hundred front ends that send
-// one each, budgets add up to turns, from a start left to chance. A function hardly heard of may be hot at
-// all of them: with a budget under one it gets no turn that was saved up.
-func (r *Router) coldRoom(f *function, wk int) bool {
+// one each, budgets add up to turns, from a start left to chance. A turn not taken soon is lost: saved up, those
+// of all would be spent together when a hot function loses its worker to a rollout.
+func (r *Router) coldRoom(wk int) bool {
 	turn := r.turn[wk]
 	return r.warmth(wk, r.now) >= 1 || turn-r.spent[wk] >= 1 &&
-		(r.now > f.since+r.dep.KeepWarm || turn-math.Floor(turn) < turnPart*r.coldBudget(wk))
+		turn-math.Floor(turn) < turnKept*turnPart*r.coldBudget(wk)
 }
 
 // load is how busy a worker is believed to be, for its size; workers unheard of count as average.
@@ -567,7 +567,7 @@
 func (r *Router) busy(wk int) bool { return r.load(wk) > busyMean*r.meanLoad+busyMore/r.size[wk] }
 
 func (r *Router) may(e *event, wk int) bool {
-	if r.phase[wk] != Serving || !r.coldRoom(e.fn, wk) {
+	if r.phase[wk] != Serving || !r.coldRoom(wk) {
 		return false
 	}
 	if !e.mayRun || e.kind.Repeat == Redeliverable {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -191,19 +191,25 @@
 	for _, f := range w.fes {
 		f.tell(false)
 	}
-	sent := 0
-	for range 150 {
-		w.step(0.01)
-		for _, f := range w.fes {
-			if f.r.coldRoom(&function{since: -100}, 0) {
-				f.r.spent[0] = f.r.turn[0]
-				sent++
+	// Whatever was saved up for long, an early rush and a late one stay under the budget, and get something.
+	for _, wait := range []float64{0, 10} {
+		for range int(wait * 100) {
+			w.step(0.01)
+		}
+		sent := 0
+		for range 150 {
+			w.step(0.01)
+			for _, f := range w.fes {
+				if f.r.coldRoom(0) {
+					f.r.spent[0] = f.r.turn[0]
+					sent++
+				}
 			}
 		}
-	}
-	may := d.FallFactor * d.ColdShare * d.FallWindow * m.rate
-	if float64(sent) > may || sent == 0 {
-		t.Errorf("%d launches to a cold worker that bears %.1f", sent, may)
+		may := d.FallFactor * (d.ColdShare + (1-d.ColdShare)*wait/d.WarmWithin) * d.FallWindow * m.rate
+		if float64(sent) > may || sent == 0 {
+			t.Errorf("%d launches to a cold worker that bears %.1f", sent, may)
+		}
 	}
 }
 
