--- a/control/control.go
+++ b/control/control.go
@@ -47,7 +47,7 @@
 	roomLate    = 0.6
 	busyMean    = 1.5  // a worker past this multiple of the mean load takes no new copy
 	busyMore    = 1.0  // and this many events more, against calling an idle fleet's noise busy
-	turnPart    = 0.7  // and of that, where front ends take turns by chance
+	turnPart    = 0.6  // and of that, where front ends take turns by chance
 	turnKept    = 1.25 // fall windows for which a turn is kept
 	coldPart    = 0.9  // part of the cold budget that is used, against rates that were misjudged
 	tick        = 0.25 // pause between looks at the clock
