Width and quick orders act among many front ends only

Both now act only where each front end's part of a room is under one event. Tried: a worker busy two events above the mean: noise. Between a dozen and a handful of front ends the change of ways is sudden; nothing seen there yet.

--- a/control/control.go
+++ b/control/control.go
@@ -21,7 +21,7 @@
 	asidePart   = 0.4   // of the serving workers at most: past it all are slow, and leaving them harms
 	slowPart    = 0.05  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
 	recentPart  = 0.2   // weight of the newest latency, low against single heavy events
-	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run
+	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run: always slow is usual there
 	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
 	waitsMost   = 3     // load orders that an event follows, against one that fits nowhere
 	moreEvery   = 2.5   // pause before one more copy beside others, against a jam that sows copies everywhere
@@ -142,7 +142,8 @@
 func New(dep *Deployment, seed uint64, host Host, now float64) *Router {
 	return &Router{dep: dep, host: host, now: now, x: uint32(seed), c: uint32(seed>>32)%4294957664 + 1, mark: 1,
 		evts: map[EventID]*event{}, marks: map[uint64]*event{}, fns: map[FunctionID]*function{},
-		brief: map[uint16]*function{}, index: map[WorkerID]int{}, short: map[uint32]int{}, lastTick: now, open: openMost}
+		brief: map[uint16]*function{}, index: map[WorkerID]int{}, short: map[uint32]int{}, lastTick: now,
+		open: openMost}
 }
 
 func (r *Router) chance(n int) int {
@@ -334,6 +335,8 @@
 	r.settle()
 }
 
+func (r *Router) many() bool { return r.part(roomStart) < 1 } // each one's part of a room is under one event
+
 func (r *Router) part(all float64) float64 { return all / float64(r.dep.FrontEnds) }
 
 // resize moves how many own events a worker may hold, against all that makes it do less than its fellows. One
@@ -372,10 +375,11 @@
 	e.fn.width = min(e.fn.width, float64(len(r.id)))
 }
 
-// counted notes answers. What waits does not count: a crowded fleet would spread them until none fits.
 func (r *Router) counted(f *function, answers float64) {
-	f.rate += answers / rateSpan
-	f.width = max(f.rate*r.quick*wideRoom/float64(f.lanes), 1)
+	f.rate += answers / rateSpan // what waits does not count, or a crowded fleet spreads until none fits
+	if r.many() {                // few see enough by their own events in flight
+		f.width = max(f.rate*r.quick*wideRoom/float64(f.lanes), 1)
+	}
 }
 
 func (r *Router) told() float64 { return max(float64(tellBytes*(r.dep.FrontEnds-1))/tellMost, 1) }
@@ -420,7 +424,6 @@
 	}
 	p.recent += recentPart * (took - p.recent)
 	p.timedAt = r.now
-	// A worker that is always slow is no slower than its profile would be.
 	r.pace[p.wk] += pacePart * (took/f.median - r.pace[p.wk])
 	if p.recent <= r.usual(f, p) {
 		p.slowSince = 0
@@ -429,7 +432,6 @@
 	}
 }
 
-// leave sets a worker aside, unless so many are that the trouble can't be theirs.
 func (r *Router) leave(wk int, most float64) bool {
 	kept := r.mean(func(k int) (float64, bool) { return float64(max(cmp.Compare(r.aside[k], r.now), 0)), true })
 	if kept < most {
@@ -446,7 +448,7 @@
 	}
 	if copies > 0 {
 		p := f.make(wk)
-		if p.warm, p.seen = true, now; took < tick { // it stood, or was all but there: the store had no work
+		if p.warm, p.seen = true, now; took < tick && r.many() { // it stood: the store had no work
 			f.pause = now
 		}
 	} else if res == TurnedAway {
@@ -546,13 +548,12 @@
 	return max(part*r.dep.FallWindow*r.most[r.kind[wk]], 1/float64(r.dep.FrontEnds))
 }
 
-// coldRoom tells whether one more launch keeps a cold worker's budget. Against a hundred front ends that send
-// one each, budgets add up to turns, from a start left to chance. A turn not taken soon is lost: saved up, those
-// of all would be spent together when a hot function loses its worker to a rollout.
+// coldRoom tells whether one more launch keeps a cold worker's budget. Against a hundred front ends sending one
+// each, budgets add up to turns, from a start left to chance. A turn not taken soon is lost: saved up, those of
+// all would be spent together when a hot function loses its worker to a rollout.
 func (r *Router) coldRoom(wk int) bool {
-	turn := r.turn[wk]
-	return r.warmth(wk, r.now) >= 1 || turn-r.spent[wk] >= 1 &&
-		turn-math.Floor(turn) < turnKept*turnPart*r.coldBudget(wk)
+	return r.warmth(wk, r.now) >= 1 || r.turn[wk]-r.spent[wk] >= 1 &&
+		r.turn[wk]-math.Floor(r.turn[wk]) < turnKept*turnPart*r.coldBudget(wk)
 }
 
 // load is how busy a worker is believed to be, for its size; workers unheard of count as average.
@@ -769,14 +770,14 @@
 		spent := r.now >= e.due-r.dep.RoundGap || e.launches >= r.dep.MaxLaunches
 		return (spent || e.mayRun && e.kind.Repeat == AtMostOnce) && r.giveUp(e)
 	},
-	// Answers come late or not at all for lack of room, and every front end holds too little for rooms to bind:
-	// a part is deferred at once, against a crowd that only works for clients who have left.
+	// Answers come late or not at all for lack of room: among many front ends a part is deferred at once, against
+	// a crowd that only works for clients who have left.
 	func(r *Router, e *event) bool {
 		in, first := r.open, e.launches == 0 && e.waits == 0
 		if e.Repeated { // against clients that repeat at once and without end: their first tries come first
 			in *= in * in
 		}
-		return first && r.part(roomStart) < 1 && float64(r.chance(1<<20)) > in*(1<<20) && r.giveUp(e)
+		return first && r.many() && float64(r.chance(1<<20)) > in*(1<<20) && r.giveUp(e)
 	},
 	// The ordinary path: the least-loaded warm copy that is not overloaded. Where too few pass, one load at a
 	// time for each function, on the least-utilized worker; meanwhile the least-loaded warm copy takes it.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -239,6 +239,22 @@
 	}
 }
 
+// Few front ends see a function's events themselves: the width stays, and a quick order starts the pause again.
+func TestFewFrontEndsKeepTheirOwnCount(t *testing.T) {
+	for n, want := range map[int]bool{2: false, 60: true} {
+		d := plain()
+		d.FrontEnds, d.MayTell = n, true
+		r := newWorld(15, d, 3).fes[0].r
+		f := &function{id: "f", lanes: 1, width: 1, order: -1, pause: r.now + 9}
+		r.fns["f"], r.quick = f, 0.5
+		r.counted(f, 100)
+		r.Held(r.now, r.id[0], "f", Handled, 1, 0.01)
+		if (f.width > 1) != want || (f.pause <= r.now) != want {
+			t.Errorf("%d front ends: width %g, pause %g at %g", n, f.width, f.pause, r.now)
+		}
+	}
+}
+
 // A crowd that only works for clients who have left: late answers shut a part of the events out at once, repeats
 // before first tries. Answers that are lost tell of no crowd.
 func TestLateAnswersDeferAPart(t *testing.T) {
