--- a/control/control.go
+++ b/control/control.go
@@ -21,7 +21,7 @@
 	asidePart   = 0.4   // of the serving workers at most: past it all are slow, and leaving them harms
 	slowPart    = 0.05  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
 	recentPart  = 0.2   // weight of the newest latency, low against single heavy events
-	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run: always slow is usual there
+	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run, its usual pace
 	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
 	waitsMost   = 3     // load orders that an event follows, against one that fits nowhere
 	moreEvery   = 2.5   // pause before one more copy beside others, against a jam that sows copies everywhere
@@ -548,9 +548,9 @@
 	return max(part*r.dep.FallWindow*r.most[r.kind[wk]], 1/float64(r.dep.FrontEnds))
 }
 
-// coldRoom tells whether one more launch keeps a cold worker's budget. Against a hundred front ends sending one
-// each, budgets add up to turns, from a start left to chance. A turn not taken soon is lost: saved up, those of
-// all would be spent together when a hot function loses its worker to a rollout.
+// coldRoom tells whether one more launch keeps a cold worker's budget. Against a hundred front ends that send
+// one each, budgets add up to turns, from a start left to chance. A turn not taken soon is lost: saved up,
+// those of all would be spent together when a hot function loses its worker to a rollout.
 func (r *Router) coldRoom(wk int) bool {
 	return r.warmth(wk, r.now) >= 1 || r.turn[wk]-r.spent[wk] >= 1 &&
 		r.turn[wk]-math.Floor(r.turn[wk]) < turnKept*turnPart*r.coldBudget(wk)
@@ -770,8 +770,8 @@
 		spent := r.now >= e.due-r.dep.RoundGap || e.launches >= r.dep.MaxLaunches
 		return (spent || e.mayRun && e.kind.Repeat == AtMostOnce) && r.giveUp(e)
 	},
-	// Answers come late or not at all for lack of room: among many front ends a part is deferred at once, against
-	// a crowd that only works for clients who have left.
+	// Answers come late or not at all for lack of room: among many front ends a part is deferred at once,
+	// against a crowd that only works for clients who have left.
 	func(r *Router, e *event) bool {
 		in, first := r.open, e.launches == 0 && e.waits == 0
 		if e.Repeated { // against clients that repeat at once and without end: their first tries come first
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"testing/quick"
 )
@@ -213,8 +214,7 @@
 	}
 }
 
-// Many front ends, none of which fills a copy alone, spread a hot function by what they tell or see late. What
-// can't be understood, or names an unknown worker, moves nothing.
+// Many front ends, none of which fills a copy alone, spread a hot function. Unknown messages move nothing.
 func TestHotFunctionSpreadsOverManyFrontEnds(t *testing.T) {
 	for _, tells := range []bool{false, true} {
 		d := plain()
@@ -239,9 +239,9 @@
 	}
 }
 
-// Few front ends see a function's events themselves: the width stays, and a quick order starts the pause again.
+// Few front ends see a function's events themselves: the width stays, and a quick order keeps the pause.
 func TestFewFrontEndsKeepTheirOwnCount(t *testing.T) {
-	for n, want := range map[int]bool{2: false, 60: true} {
+	for _, n := range []int{2, 60} {
 		d := plain()
 		d.FrontEnds, d.MayTell = n, true
 		r := newWorld(15, d, 3).fes[0].r
@@ -249,14 +249,13 @@
 		r.fns["f"], r.quick = f, 0.5
 		r.counted(f, 100)
 		r.Held(r.now, r.id[0], "f", Handled, 1, 0.01)
-		if (f.width > 1) != want || (f.pause <= r.now) != want {
+		if (f.width > 1) != (n > 2) || (f.pause <= r.now) != (n > 2) {
 			t.Errorf("%d front ends: width %g, pause %g at %g", n, f.width, f.pause, r.now)
 		}
 	}
 }
 
-// A crowd that only works for clients who have left: late answers shut a part of the events out at once, repeats
-// before first tries. Answers that are lost tell of no crowd.
+// Late answers shut a part of the events out at once, repeats before first tries. Lost ones tell of no crowd.
 func TestLateAnswersDeferAPart(t *testing.T) {
 	d := plain()
 	d.FrontEnds = 100
@@ -264,7 +263,8 @@
 	f := w.fes[0]
 	deferred := func(result Result, repeated bool) (n int) {
 		for f.r.open = 1; f.r.open > 0.7 && n < 20; n++ {
-			f.r.widen(&event{fn: &function{lanes: 1, width: 1}, kind: &d.EventTypes[0]}, Ending{Result: result, Took: 2})
+			e := &event{fn: &function{lanes: 1, width: 1}, kind: &d.EventTypes[0]}
+			f.r.widen(e, Ending{Result: result, Took: 2})
 		}
 		n = 0
 		for range 200 {
@@ -324,15 +324,11 @@
 func TestWaitsForLoadsTakeNoRoom(t *testing.T) {
 	w := newWorld(8, plain(), 1)
 	r := w.fes[0].r
-	for range 20 {
-		r.flying[0] = append(r.flying[0], &event{fn: &function{order: 0}, loading: true})
-	}
+	r.flying[0] = slices.Repeat([]*event{{fn: &function{order: 0}, loading: true}}, 20)
 	if !r.fit(0) {
 		t.Error("a worker where events wait for a load takes no others")
 	}
-	for range 20 {
-		r.flying[0] = append(r.flying[0], &event{})
-	}
+	r.flying[0] = slices.Repeat([]*event{{}}, 20)
 	if r.fit(0) {
 		t.Error("a worker far past its room takes more")
 	}
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -24,14 +24,11 @@
 
 type machine struct {
 	Worker
-	rate     float64 // events a second when warm
-	freeAt   float64
-	bornAt   float64
-	told     []Phase // what each front end was last told
-	sends    []float64
-	mood     int // 0 well, 1 silent, 2 failing, 3 turning away, 4 unreachable
-	holds    map[FunctionID]bool
-	toldBorn []float64
+	rate, freeAt, bornAt float64 // events a second when warm; busy until; started
+	told                 []Phase // what each front end was last told
+	mood                 int     // 0 well, 1 silent, 2 failing, 3 turning away, 4 unreachable
+	holds                map[FunctionID]bool
+	sends, toldBorn      []float64
 }
 
 type taken struct {
@@ -44,10 +41,9 @@
 }
 
 type sent struct {
-	wk     *machine
-	at     float64
-	ended  bool
-	mayRun bool
+	wk            *machine
+	at            float64
+	ended, mayRun bool
 }
 
 type frontEnd struct {
@@ -56,7 +52,6 @@
 	r              *Router
 	evts           map[EventID]*taken
 	takes, ordered []float64
-	dead           bool
 }
 
 func (w *world) fault(format string, args ...any) {
@@ -77,7 +72,6 @@
 	return w.wks[0]
 }
 
-// step plays all that is due by the next moment.
 func (w *world) step(span float64) {
 	w.now += span
 	for i := 0; i < len(w.later); i++ {
@@ -142,7 +136,7 @@
 }
 
 func (f *frontEnd) end(t *taken, l *sent, n int, res Result) {
-	if l.ended || f.dead {
+	if l.ended {
 		return
 	}
 	l.ended = true
@@ -255,7 +249,6 @@
 
 func (f *frontEnd) Subscribe() {}
 
-// tell gives a front end the whole list, as it stands now.
 func (f *frontEnd) tell(first bool) {
 	var list []Worker
 	for _, m := range f.w.wks {
