--- a/control/control.go
+++ b/control/control.go
@@ -288,7 +288,7 @@
 	e.out = false
 	r.flying[wk] = slices.DeleteFunc(r.flying[wk], func(o *event) bool { return o == e })
 	f.out, p.out = f.out-1, p.out-1
-	if rep := end.Report; rep.Known != 0 {
+	if rep := end.Report; rep.Known {
 		r.heard[wk] = max(rep.Running+rep.Waiting-float64(len(r.flying[wk])), 0)
 	}
 	if end.Result == Missed || end.Warmth == BeganLoad {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -105,13 +105,10 @@
 	return handled, other
 }
 
-func (m *machine) launches(f *frontEnd) (n int) {
-	for _, e := range f.evts {
-		for _, l := range e.launches {
-			if l.wk == m {
-				n++
-			}
-		}
+// homes counts the copies that stand.
+func (w *world) homes() (n int) {
+	for _, m := range w.wks {
+		n += len(m.holds)
 	}
 	return n
 }
@@ -122,11 +119,7 @@
 	d.FrontEnds = 3
 	w := newWorld(5, d, 8)
 	drive(w, 4, 0.1, 4)
-	homes := 0
-	for _, m := range w.wks {
-		homes += len(m.holds)
-	}
-	if homes > 6 || w.bad != "" {
+	if homes := w.homes(); homes > 6 || w.bad != "" {
 		t.Errorf("4 functions stand in %d places; %s", homes, w.bad)
 	}
 }
@@ -221,11 +214,7 @@
 		d.FrontEnds, d.MayTell = 60, tells
 		w := newWorld(13, d, 12)
 		drive(w, 1, 0.01, 8)
-		homes := 0
-		for _, m := range w.wks {
-			homes += len(m.holds)
-		}
-		if homes < 4 || w.bad != "" {
+		if homes := w.homes(); homes < 4 || w.bad != "" {
 			t.Errorf("told %v: 100 events a second stand in %d places; %s", tells, homes, w.bad)
 		}
 		r := w.fes[0].r
--- a/control/types.go
+++ b/control/types.go
@@ -127,20 +127,12 @@
 	LoadFailed
 )
 
-// Report is a worker's load report; Known tells which figures it carries.
+// Report is a worker's load report; Known tells that it carries one of the figures.
 type Report struct {
 	Running, Waiting float64
-	Known            Figures
+	Known            bool
 }
 
-// Figures is a set of figures of a report.
-type Figures int
-
-const (
-	HasRunning Figures = 1 << iota
-	HasWaiting
-)
-
 // Ending is the end of one launch.
 type Ending struct {
 	Event   EventID
--- a/wire/line.go
+++ b/wire/line.go
@@ -151,9 +151,9 @@
 		}
 		switch name {
 		case "rif":
-			r.Running, r.Known = n, r.Known|control.HasRunning
+			r.Running, r.Known = n, true
 		case "q":
-			r.Waiting, r.Known = n, r.Known|control.HasWaiting
+			r.Waiting, r.Known = n, true
 		}
 	}
 	return r
