--- /dev/null
+++ b/drill/bench.go
@@ -0,0 +1,150 @@
+package drill
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"streamcleat/config"
+	"streamcleat/netloop"
+)
+
+// Side is one side of a comparison: events a second, and latencies in ms.
+type Side struct {
+	Rate float64 `json:"rate"`
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+}
+
+// BenchRow compares the way through a front end with the straight one, front end over direct.
+type BenchRow struct {
+	Connections int     `json:"connections"`
+	Direct      Side    `json:"direct"`
+	Front       Side    `json:"front"`
+	RateRatio   float64 `json:"rate_ratio"`
+	P50Ratio    float64 `json:"p50_ratio"`
+	P99Ratio    float64 `json:"p99_ratio"`
+}
+
+// Bench measures a worker that answers at once, straight and through a front end, in turns within one run.
+func Bench(ctx context.Context, conns []int, events int) ([]BenchRow, error) {
+	dir, err := os.MkdirTemp("", "bench")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	worker := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.Header().Set("Server-Timing", "warm")
+		io.WriteString(w, `{"model_name":"tally","outputs":[]}`)
+	})}
+	go worker.Serve(l)
+	defer worker.Close()
+	list := filepath.Join(dir, "workers.json")
+	line := fmt.Sprintf(`[{"targets":[%q],"labels":{"instance":"wk-0"}}]`, l.Addr())
+	if err := os.WriteFile(list, []byte(line), 0o644); err != nil {
+		return nil, err
+	}
+	c, err := config.Parse([]byte(`{"event_types":[{"name":"shop-event","target_time_s":1.5,"max_age_s":4}],
+		"functions":[{"match":"*","lanes":256}]}`), dir)
+	if err != nil {
+		return nil, err
+	}
+	f, err := netloop.Start(netloop.Settings{Name: "front", Listen: "127.0.0.1:0", WorkersFile: list, Core: c.Core(1),
+		Pool: c.Pool("front"), Front: c.Front(), MostConns: 1000})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop(time.Second)
+	var rows []BenchRow
+	for _, n := range conns {
+		row := BenchRow{Connections: n}
+		// Turn about, and the better of each side: the machine's pace drifts.
+		for turn := range 3 {
+			for _, way := range []struct {
+				side *Side
+				url  string
+			}{{&row.Direct, "http://" + l.Addr().String() + "/v2/models/tally/infer"}, {&row.Front, "http://" + f.Addr() + "/events"}} {
+				s, err := drive(ctx, way.url, n, events, fmt.Sprintf("%d-%d", n, turn))
+				if err != nil {
+					return nil, err
+				}
+				if s.Rate > way.side.Rate {
+					*way.side = s
+				}
+			}
+		}
+		row.RateRatio, row.P50Ratio, row.P99Ratio = row.Front.Rate/row.Direct.Rate, row.Front.P50/row.Direct.P50,
+			row.Front.P99/row.Direct.P99
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func drive(ctx context.Context, url string, conns, events int, run string) (Side, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns}}
+	defer client.CloseIdleConnections()
+	hist := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var first error
+	var wait sync.WaitGroup
+	warm := max(conns, 50) // not counted
+	work := make(chan int)
+	began := time.Now()
+	for range conns {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for no := range work {
+				at := time.Now()
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(`{"count":1}`)))
+				if err == nil {
+					for _, h := range [][2]string{{"ce-specversion", "1.0"}, {"ce-source", "/bench/" + run}, {"ce-id", fmt.Sprint(no)},
+						{"ce-type", "shop-event"}, {"ce-function", "tally"}, {"Content-Type", "application/json"}} {
+						req.Header.Set(h[0], h[1])
+					}
+					var resp *http.Response
+					if resp, err = client.Do(req); err == nil {
+						_, err = io.Copy(io.Discard, resp.Body)
+						resp.Body.Close()
+						if resp.StatusCode != 200 && no >= warm {
+							err = fmt.Errorf("%s: status %d", url, resp.StatusCode)
+						}
+					}
+				}
+				mu.Lock()
+				if err != nil && first == nil {
+					first = err
+				}
+				if no >= warm {
+					hist.RecordValue(max(time.Since(at).Microseconds(), 1))
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for no := range warm + events {
+		if no == warm {
+			began = time.Now()
+		}
+		work <- no
+	}
+	close(work)
+	wait.Wait()
+	took := time.Since(began).Seconds()
+	return Side{Rate: float64(events) / took, P50: float64(hist.ValueAtQuantile(50)) / 1000,
+		P99: float64(hist.ValueAtQuantile(99)) / 1000}, first
+}
--- /dev/null
+++ b/drill/run.go
@@ -0,0 +1,476 @@
+package drill
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"streamcleat/config"
+	"streamcleat/gateway"
+	"streamcleat/netloop"
+	"streamcleat/referee"
+	"streamcleat/standin"
+	"streamcleat/timers"
+)
+
+// Report is what one day came to.
+type Report struct {
+	Script string `json:"script"`
+	Seed   uint64 `json:"seed"`
+	referee.Verdict
+	InTime   float64            `json:"in_time"` // share of firings handled within the target time, repeats with their first try
+	Firings  int                `json:"firings"`
+	Joined   uint64             `json:"joined"` // askers answered by an event that another began
+	Fetches  int                `json:"store_fetches"`
+	Latency  map[string]float64 `json:"latency_ms"` // of handled firings
+	Causes   map[string]int     `json:"causes"`     // why events ended otherwise than handled
+	Seconds  float64            `json:"seconds"`
+	Failures []string           `json:"failures,omitempty"` // of the rig itself
+}
+
+// OK tells that all rules held and the rig did what it was told.
+func (r *Report) OK() bool { return r.Broken == 0 && len(r.Failures) == 0 }
+
+const (
+	targetTime = 0.8
+	maxAge     = 2.5
+	remembered = 30.0
+	margin     = 0.2 // the rig's clients share the machine with all the rest
+	drainGrace = 0.5
+	warmWithin = 4.0
+	coldShare  = 0.29
+	fallFactor = 2.5
+	fallWindow = 1.5
+	keepWarm   = 4.0
+)
+
+type day struct {
+	script    *Script
+	seed      uint64
+	rng       *rand.Rand
+	log       *slog.Logger
+	tape      *referee.Tape
+	dir       string
+	functions []standin.Function
+	store     *standin.Store
+	memory    *standin.Memory
+	list      *standin.List
+	fronts    []*netloop.Server
+	addrs     []string
+	rules     referee.Rules
+
+	mu       sync.Mutex
+	workers  []*standin.Worker
+	all      []*standin.Worker
+	next     int
+	failures []string
+	causes   map[string]int
+	latency  *hdrhistogram.Histogram
+	firings  int
+	inTime   int
+
+	boost   atomic.Int64 // rate in hundredths of the usual
+	hot     atomic.Int64 // share of events for hot functions, in thousandths
+	leaving atomic.Int64 // share of clients that hang up, in thousandths
+	abuse   atomic.Bool
+}
+
+// Run plays a script. Everything it starts is ended when it returns.
+func Run(ctx context.Context, s *Script, seed uint64, log *slog.Logger) (*Report, []referee.Record, error) {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	dir, err := os.MkdirTemp("", "drill")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer os.RemoveAll(dir)
+	d := &day{script: s, seed: seed, rng: rand.New(rand.NewPCG(seed, 0xd411)), log: log, tape: referee.NewTape(), dir: dir,
+		store: standin.NewStore(s.Workers, s.Workers*4), memory: standin.NewMemory(remembered), causes: map[string]int{},
+		latency: hdrhistogram.New(1, 60_000_000, 3)}
+	d.boost.Store(100)
+	defer d.close()
+	if err := d.open(); err != nil {
+		return nil, nil, err
+	}
+	began := time.Now()
+	d.play(ctx)
+	r := &Report{Script: s.Name, Seed: seed, Firings: d.firings, Latency: map[string]float64{}, Seconds: time.Since(began).Seconds()}
+	for _, f := range d.fronts {
+		n, _, _, err := f.Counts()
+		if err != nil {
+			d.fail("front end ended by itself: %v", err)
+		}
+		r.Joined += n.Joined + n.FromKept
+		if n.Open > 0 || n.Out > 0 {
+			d.fail("front end holds %d events and %d launches after the day", n.Open, n.Out)
+		}
+	}
+	for _, f := range d.fronts {
+		f.Stop(time.Second)
+	}
+	d.fronts = nil
+	records := d.tape.Records()
+	r.Verdict = referee.Judge(d.rules, records)
+	if d.firings > 0 {
+		r.InTime = float64(d.inTime) / float64(d.firings)
+	}
+	r.Fetches, r.Causes, r.Failures = d.store.Fetches, d.causes, d.failures
+	for _, q := range []float64{50, 90, 99, 99.9} {
+		r.Latency[fmt.Sprintf("p%g", q)] = float64(d.latency.ValueAtQuantile(q)) / 1000
+	}
+	r.Latency["max"] = float64(d.latency.Max()) / 1000
+	return r, records, nil
+}
+
+func (d *day) fail(format string, args ...any) {
+	d.mu.Lock()
+	d.failures = append(d.failures, fmt.Sprintf(format, args...))
+	d.mu.Unlock()
+}
+
+func (d *day) close() {
+	for _, f := range d.fronts {
+		f.Stop(0)
+	}
+	for _, w := range d.all {
+		w.Close()
+	}
+}
+
+func (d *day) worker(cold bool) (*standin.Worker, error) {
+	d.mu.Lock()
+	no := d.next
+	d.next++
+	d.mu.Unlock()
+	kind, speed := "std", 1.0
+	if no%3 == 2 {
+		kind, speed = "eco", 0.7
+	}
+	mean := 0.0
+	for _, f := range d.functions {
+		mean += f.Work / float64(len(d.functions))
+	}
+	name := fmt.Sprintf("wk-%02d", no)
+	w, err := standin.NewWorker(standin.Spec{Name: name, Kind: kind, Cores: d.script.Cores, Speed: speed, Memory: 8000,
+		Queue: 64, LoadsAtOnce: 4, Keep: keepWarm + 0.5, ColdShare: coldShare, WarmWithin: warmWithin, FallFactor: fallFactor,
+		FallWindow: fallWindow, LoadsOnEvent: d.script.OnEvent, MeanWork: mean, Functions: d.functions, Store: d.store,
+		Drops: d.memory, Keyed: map[string]bool{"till-entry": true}, Tape: d.tape, Seed: d.seed + uint64(no)})
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rules.Capacity[name] = float64(d.script.Cores) * speed
+	d.rules.Work = mean
+	d.all = append(d.all, w)
+	if cold {
+		return w, w.Restart()
+	}
+	return w, nil
+}
+
+func (d *day) open() error {
+	s := d.script
+	// Some functions are asked for by nobody until they turn hot.
+	d.functions = standin.Catalogue(s.Functions+3, s.Work, d.seed)
+	d.rules = referee.Rules{Effect: map[string]string{"shop-event": "redeliverable", "till-entry": "keyed",
+		"price-reset": "at-most-once"}, Remembered: map[string]float64{"till-entry": remembered}, Capacity: map[string]float64{},
+		DrainGrace: drainGrace, ColdShare: coldShare, WarmWithin: warmWithin, FallFactor: fallFactor, FallWindow: fallWindow,
+		LoadWindow: s.Ration[0], LoadFree: s.Ration[1], LoadShare: s.Ration[2], Grace: 0.1}
+	for range s.Workers {
+		w, err := d.worker(s.Cold)
+		if err != nil {
+			return err
+		}
+		d.workers = append(d.workers, w)
+	}
+	path := filepath.Join(d.dir, "workers.json")
+	var err error
+	if d.list, err = standin.NewList(path, d.tape, d.workers); err != nil {
+		return err
+	}
+	return d.openFronts(path)
+}
+
+func (d *day) openFronts(path string) error {
+	s := d.script
+	peers, err := freeUDP(s.FrontEnds)
+	if err != nil {
+		return err
+	}
+	var functions []map[string]any
+	for _, f := range d.functions {
+		functions = append(functions, map[string]any{"match": f.Name, "lanes": f.Lanes, "memory_mb": f.Memory,
+			"load_s": f.Fetch + f.Begin})
+	}
+	doc, err := json.Marshal(map[string]any{
+		"name": "front", "listen": []string{"127.0.0.1:0"},
+		"event_types": []map[string]any{
+			{"name": "shop-event", "target_time_s": targetTime, "max_age_s": maxAge},
+			{"name": "till-entry", "target_time_s": targetTime, "max_age_s": maxAge, "repeat": "keyed", "remembered_s": remembered},
+			{"name": "price-reset", "target_time_s": targetTime, "max_age_s": maxAge, "repeat": "at-most-once"}},
+		"functions": functions,
+		"workers":   map[string]any{"keep_warm_s": keepWarm, "load_on_event": s.OnEvent},
+		"rules": map[string]any{"cold_share": coldShare, "warm_within_s": warmWithin, "fall_multiple": fallFactor,
+			"fall_window_s": fallWindow, "max_pause_s": 0.5, "load_window_s": s.Ration[0], "load_free": s.Ration[1],
+			"load_share": s.Ration[2]},
+		"limits": map[string]any{"answer_margin_s": margin},
+	})
+	if err != nil {
+		return err
+	}
+	c, err := config.Parse(doc, d.dir)
+	if err != nil {
+		return err
+	}
+	for i := range s.FrontEnds {
+		core := c.Core(d.seed*1000003 + uint64(i))
+		core.Deployment.FrontEnds, core.Deployment.MayTell = s.FrontEnds, s.FrontEnds > 1
+		name := fmt.Sprintf("front-%d", i)
+		set := netloop.Settings{Name: name, Listen: c.Listen[0], Cluster: "drill", WorkersFile: path, Core: core, Pool: c.Pool(name),
+			Front: c.Front(), MostConns: c.Limits.Connections, Log: d.log, Ended: func(a gateway.Answer) {
+				if a.Kind != gateway.Handled {
+					d.mu.Lock()
+					d.causes[a.Cause.String()]++
+					d.mu.Unlock()
+				}
+			}}
+		if s.FrontEnds > 1 {
+			set.PeerListen = peers[i]
+			for k, p := range peers {
+				if k != i {
+					set.Peers = append(set.Peers, p)
+				}
+			}
+		}
+		f, err := netloop.Start(set)
+		if err != nil {
+			return err
+		}
+		d.fronts = append(d.fronts, f)
+		d.addrs = append(d.addrs, f.Addr())
+	}
+	return nil
+}
+
+// play runs the clients and the troubles until the day ends and everyone has an answer.
+func (d *day) play(ctx context.Context) {
+	s := d.script
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Seconds*float64(time.Second)))
+	defer cancel()
+	var clients, troubles sync.WaitGroup
+	clients.Add(1)
+	go func() { defer clients.Done(); d.steady(ctx) }()
+	for i := range s.Clients {
+		clients.Add(1)
+		go func() { defer clients.Done(); d.timers(ctx, i) }()
+	}
+	for i, t := range s.Troubles {
+		troubles.Add(1)
+		rng := rand.New(rand.NewPCG(d.seed, uint64(i)+77))
+		go func() {
+			defer troubles.Done()
+			if d.sleep(ctx, t.At) {
+				if err := d.trouble(ctx, t, rng); err != nil {
+					d.fail("trouble %d, %s: %v", i, t.Kind, err)
+				}
+			}
+		}()
+	}
+	clients.Wait()
+	troubles.Wait()
+}
+
+func (d *day) sleep(ctx context.Context, s float64) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration(s * float64(time.Second))):
+		return true
+	}
+}
+
+// client is a CloudEvents client whose tries the tape records.
+func (d *day) client(source string, repeats int) *timers.Client {
+	return &timers.Client{Source: source, Fronts: d.addrs, HTTP: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}, MaxAge: time.Duration(maxAge * float64(time.Second)),
+		Repeat: repeats, Once: map[string]bool{"price-reset": true},
+		Trying: func(f timers.Firing, front string, left time.Duration) func(int, error) {
+			r := referee.Record{Kind: referee.Asked, Event: source + "#" + f.ID, Type: f.Entry.Type, Function: f.Entry.Function,
+				Front: d.front(front), Call: d.tape.Call(), Wait: left.Seconds()}
+			d.tape.Add(r)
+			return func(status int, err error) {
+				r.Status = status
+				switch {
+				case status == 0 && errors.Is(err, context.Canceled):
+					r.Kind = referee.Left
+				case status == 0 && errors.Is(err, context.DeadlineExceeded):
+					return // nobody answered in time: the referee finds no answer
+				case status == 0:
+					r.Kind = referee.Answered
+					r.Outcome = referee.Refused
+					d.fail("%s: %v", r.Event, err)
+				default:
+					r.Kind, r.Outcome = referee.Answered, outcome(status)
+				}
+				d.tape.Add(r)
+			}
+		}}
+}
+
+func (d *day) front(addr string) string {
+	for i, a := range d.addrs {
+		if a == addr {
+			return fmt.Sprintf("front-%d", i)
+		}
+	}
+	return addr
+}
+
+func outcome(status int) string {
+	switch status {
+	case 200:
+		return referee.Handled
+	case 503, 429:
+		return referee.Deferred
+	case 502, 504:
+		return referee.DeadLettered
+	}
+	return referee.Refused
+}
+
+func (d *day) ended(o timers.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.firings++
+	if o.Status == 200 {
+		d.latency.RecordValue(max(o.Took.Microseconds(), 1))
+		if o.Took.Seconds() <= targetTime {
+			d.inTime++
+		}
+	}
+	if outcome(o.Status) == referee.Refused && o.Status != 0 {
+		d.failures = append(d.failures, fmt.Sprintf("%s: status %d", o.ID, o.Status))
+	}
+}
+
+// steady is the door counters and tills: events at random times, of the types by the mix, for functions of uneven
+// popularity.
+func (d *day) steady(ctx context.Context) {
+	s := d.script
+	rng := rand.New(rand.NewPCG(d.seed, 0x57ea))
+	zipf := rand.NewZipf(rng, 1.2, 3, uint64(s.Functions-1))
+	c := d.client("/tills", s.Repeats)
+	var out sync.WaitGroup
+	defer out.Wait()
+	types := []string{"shop-event", "till-entry", "price-reset"}
+	for no := 0; s.Rate > 0; no++ {
+		rate := s.Rate * float64(d.boost.Load()) / 100
+		if !d.sleep(ctx, rng.ExpFloat64()/rate) {
+			return
+		}
+		pick, kind := rng.Float64(), types[0]
+		for _, t := range types {
+			if kind = t; pick < s.Mix[t] {
+				break
+			}
+			pick -= s.Mix[t]
+		}
+		fn := d.functions[zipf.Uint64()].Name
+		if rng.Int64N(1000) < d.hot.Load() {
+			fn = d.functions[s.Functions+rng.IntN(3)].Name
+		}
+		e := &timers.Entry{Type: kind, Function: fn, Tenant: []string{"kitaboshi-wear", "minato-shoes"}[rng.IntN(2)],
+			Data: []byte(`{"count":1}`)}
+		f := timers.Firing{Entry: e, Due: time.Now(), ID: fmt.Sprintf("e-%d", no)}
+		leave := rng.Int64N(1000) < d.leaving.Load()
+		after := time.Duration(rng.Int64N(int64(60 * time.Millisecond)))
+		out.Add(1)
+		go func() {
+			defer out.Done()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if leave {
+				time.AfterFunc(after, cancel)
+			}
+			o := c.Fire(ctx, f)
+			for d.abuse.Load() && o.Status == 503 && o.Took.Seconds() < maxAge { // it comes back at once, as another event
+				again := f
+				again.ID += "+"
+				f = again
+				o = c.Fire(ctx, again)
+			}
+			if !leave {
+				d.ended(o)
+			}
+		}()
+	}
+	<-ctx.Done()
+}
+
+// timers is one timer client; all of them have the same crontab, so every minute is fired by each of them.
+func (d *day) timers(ctx context.Context, no int) {
+	s := d.script
+	rng := rand.New(rand.NewPCG(d.seed, 0x71e5))
+	var tab strings.Builder
+	tab.WriteString("CRON_TZ=UTC\n")
+	types := []string{"shop-event", "till-entry", "price-reset"}
+	for i := range s.Timers {
+		fmt.Fprintf(&tab, "* * * * * %s %s kitaboshi-wear %%{\"entry\":%d}\n", types[rng.IntN(3)], d.functions[i%s.Functions].Name, i)
+	}
+	// The clock of the timers is so set that midnight comes when the script says.
+	midnight := s.Seconds + 10
+	for _, t := range s.Troubles {
+		if t.Kind == "midnight" {
+			midnight = t.At
+			for i := range int(t.Times) {
+				fmt.Fprintf(&tab, "0 0 * * * %s %s minato-shoes %%{\"reset\":%d}\n", types[rng.IntN(3)], d.functions[i%s.Functions].Name, i)
+			}
+		}
+	}
+	entries, err := timers.Parse(strings.NewReader(unique(tab.String())), "drill")
+	if err != nil {
+		d.fail("crontab: %v", err)
+		return
+	}
+	// One client runs ahead of the other by anything up to a second.
+	lag := []float64{0, rng.Float64(), 0, 1}[no%4]
+	base := time.Date(2026, 12, 24, 0, 0, 0, 0, time.UTC)
+	began := time.Now()
+	clock := func() time.Time {
+		minutes := (time.Since(began).Seconds() - lag - midnight) / s.Minute
+		return base.Add(time.Duration(minutes * float64(time.Minute)))
+	}
+	until := func(t time.Time) time.Duration { return time.Duration(float64(t.Sub(clock())) / 60 * s.Minute) }
+	c := d.client("/timers/drill", s.Repeats)
+	plan := timers.NewPlan(entries, clock())
+	c.Ended = d.ended
+	c.Run(ctx, plan, clock, until)
+}
+
+// unique drops lines that stand twice, as entries of a crontab may not.
+func unique(tab string) string {
+	seen := map[string]bool{}
+	var out strings.Builder
+	for _, line := range strings.SplitAfter(tab, "\n") {
+		key, _, _ := strings.Cut(line, "%")
+		if !seen[key] {
+			out.WriteString(line)
+		}
+		seen[key] = true
+	}
+	return out.String()
+}
--- /dev/null
+++ b/front/http/session.go
@@ -0,0 +1,332 @@
+// Package http is the HTTP/1.1 front: what one client connection says and is told, CloudEvents in, final answers
+// out. It has no socket and no clock. netloop carries its bytes; the core gets its events.
+package http
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	nethttp "net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"streamcleat/control"
+	"streamcleat/gateway"
+	"streamcleat/h1"
+)
+
+// Limits of one client connection; times in seconds.
+type Limits struct {
+	Message  h1.Limits
+	Pipeline int     // requests of a connection that may wait for their answers at once
+	Arrival  float64 // a request must be whole so long after its first byte
+	Idle     float64 // a connection without a request is closed after this
+	Unread   int     // bytes of answers that a client may leave unread
+}
+
+// Taker takes events on behalf of a session.
+type Taker interface {
+	// Take is answered by Session.Answer with the same slot, be it before Take returns.
+	Take(slot uint64, ask gateway.Ask)
+	// HungUp tells that nobody waits for the slot any more.
+	HungUp(slot uint64)
+}
+
+// slot is one request of the connection, in the order they came.
+type slot struct {
+	no    uint64
+	due   float64 // when its client stops waiting, if it is an event; else 0
+	ask   *gateway.Ask
+	out   []byte // the answer, once there is one
+	last  bool   // the connection closes behind it
+	taken bool
+}
+
+// Session is one client connection.
+type Session struct {
+	limits Limits
+	in     *h1.Framer
+	taker  Taker
+	name   string // of this front end, for Proxy-Status
+	slots  []*slot
+	no     uint64
+	began  float64 // when the unfinished request's first byte came
+	quiet  float64 // when the connection was last busy
+	closed bool    // nothing more is read
+	out    bytes.Buffer
+	gone   bool
+}
+
+// NewSession begins a connection at the time now.
+func NewSession(l Limits, name string, taker Taker, now float64) *Session {
+	return &Session{limits: l, in: h1.NewRequests(l.Message), taker: taker, name: name, quiet: now}
+}
+
+// Feed takes bytes from the client. wall is the time of day, against which an expirytime is read.
+func (s *Session) Feed(now float64, wall time.Time, data []byte) {
+	if s.closed || s.gone {
+		return
+	}
+	if s.in.Idle() {
+		s.began = now
+	}
+	s.in.Feed(data)
+	s.read(now, wall)
+}
+
+func (s *Session) read(now float64, wall time.Time) {
+	for !s.closed {
+		m, err := s.in.Next()
+		if err != nil {
+			s.refuse(err)
+			break
+		}
+		if m == nil {
+			break
+		}
+		if m.Continue {
+			if len(s.slots) == 0 { // RFC 9110 10.1.1; behind another answer the client sends the body by itself
+				s.out.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+			}
+			continue
+		}
+		s.began, s.quiet = now, now
+		s.request(now, wall, m)
+	}
+	s.advance(now)
+}
+
+func (s *Session) refuse(err error) {
+	status := 400
+	var why string
+	if f, ok := err.(*h1.Fault); ok {
+		status, why = f.Status, f.Why
+	} else {
+		why = err.Error()
+	}
+	sl := s.push()
+	sl.last, s.closed = true, true
+	sl.out = s.problem(status, "invalid-request", why, nil, nil, true)
+}
+
+func (s *Session) push() *slot {
+	s.no++
+	sl := &slot{no: s.no}
+	s.slots = append(s.slots, sl)
+	return sl
+}
+
+func (s *Session) request(now float64, wall time.Time, m *h1.Message) {
+	waiting := len(s.slots)
+	sl := s.push()
+	if sl.last = m.Close; m.Close {
+		s.closed = true
+	}
+	path, _, _ := strings.Cut(m.Target, "?")
+	switch {
+	case path == "/healthz" && m.Method == "GET":
+		sl.out = s.render(200, nil, []byte("ok\n"), sl.last)
+		return
+	case path != "/" && path != "/events":
+		sl.out = s.problem(404, "not-found", fmt.Sprintf("%.100q is neither / nor /events", path), nil, nil, sl.last)
+		return
+	case m.Method != "POST":
+		sl.out = s.problem(405, "method", fmt.Sprintf("method %.20q: events come by POST", m.Method),
+			[]gateway.Field{{Name: "Allow", Value: "POST"}}, nil, sl.last)
+		return
+	}
+	ask, f := readEvent(m, wall)
+	switch {
+	case f != nil:
+		sl.out = s.problem(f.status, f.kind, f.detail, nil, nil, sl.last)
+	case waiting >= s.limits.Pipeline:
+		sl.out = s.problem(429, "pipeline", fmt.Sprintf("over %d requests of this connection wait", s.limits.Pipeline),
+			[]gateway.Field{{Name: "Retry-After", Value: "1"}}, nil, sl.last)
+	default:
+		sl.ask, sl.due = &ask, math.Inf(1)
+		if ask.Wait != 0 {
+			sl.due = now + ask.Wait
+		}
+	}
+}
+
+// advance takes events and sends answers, in order. HTTP/1.1 answers in the order of requests: an event whose
+// client leaves before those ahead of it must be answered could get its answer too late however soon it is done,
+// so it is taken only once the line is free. Others are taken at once.
+func (s *Session) advance(now float64) {
+	for progress := true; progress && !s.gone; {
+		progress = false
+		for len(s.slots) > 0 && s.slots[0].out != nil {
+			s.out.Write(s.slots[0].out)
+			last := s.slots[0].last
+			s.slots = s.slots[1:]
+			s.quiet = now
+			progress = true
+			if last {
+				s.closed = true
+				s.abandon()
+				return
+			}
+		}
+		ahead := 0.0
+		for _, sl := range s.slots {
+			if sl.ask != nil && !sl.taken {
+				if sl.due < ahead {
+					break
+				}
+				if sl.taken = true; sl.ask.Wait != 0 {
+					if sl.ask.Wait = sl.due - now; sl.ask.Wait <= 0 {
+						sl.ask.Wait = -1
+					}
+				}
+				ask := *sl.ask
+				sl.ask = &gateway.Ask{Identity: ask.Identity}
+				s.taker.Take(sl.no, ask)
+				progress = true
+			}
+			ahead = max(ahead, sl.due)
+		}
+	}
+}
+
+// Answer is the final answer to a slot.
+func (s *Session) Answer(now float64, no uint64, a gateway.Answer) {
+	for _, sl := range s.slots {
+		if sl.no == no && sl.out == nil {
+			sl.out = s.final(a, sl.last)
+		}
+	}
+}
+
+// Advance sends what may go out by now and takes what had to wait; it is called after answers came.
+func (s *Session) Advance(now float64) { s.advance(now) }
+
+// Output hands out what is to be sent.
+func (s *Session) Output() []byte {
+	if s.out.Len() == 0 {
+		return nil
+	}
+	out := bytes.Clone(s.out.Bytes())
+	s.out.Reset()
+	if s.out.Cap() > 1<<16 {
+		s.out = bytes.Buffer{}
+	}
+	return out
+}
+
+// Done tells that the connection is to be closed once all output is sent.
+func (s *Session) Done() bool { return s.closed && len(s.slots) == 0 }
+
+// Gone tells that the client left.
+func (s *Session) Gone() { s.abandon() }
+
+func (s *Session) abandon() {
+	s.gone = true
+	for _, sl := range s.slots {
+		if sl.taken && sl.out == nil {
+			s.taker.HungUp(sl.no)
+		}
+	}
+	s.slots = nil
+}
+
+// Drain ends the connection behind the requests that wait.
+func (s *Session) Drain() {
+	s.closed = true
+	if len(s.slots) > 0 {
+		s.slots[len(s.slots)-1].last = true
+	}
+}
+
+// Tick tells what time does: a request that takes too long to come in is answered and ends the connection; a
+// connection that is idle too long just ends.
+func (s *Session) Tick(now float64) {
+	switch {
+	case s.closed || s.gone:
+	case !s.in.Idle() && now-s.began > s.limits.Arrival:
+		s.refuse(&h1.Fault{Status: 408, Why: fmt.Sprintf("the request was not whole after %v s", s.limits.Arrival)})
+		s.advance(now)
+	case s.in.Idle() && len(s.slots) == 0 && now-s.quiet > s.limits.Idle:
+		s.closed = true
+	}
+}
+
+func (s *Session) render(status int, fields []gateway.Field, body []byte, last bool) []byte {
+	var b bytes.Buffer
+	b.Grow(160 + len(body))
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, nethttp.StatusText(status), len(body))
+	for _, f := range fields {
+		b.WriteString(f.Name)
+		b.WriteString(": ")
+		b.WriteString(f.Value)
+		b.WriteString("\r\n")
+	}
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(body)
+	return b.Bytes()
+}
+
+// problem is an answer with problem details (RFC 9457).
+func (s *Session) problem(status int, kind, detail string, fields []gateway.Field, more map[string]any, last bool) []byte {
+	details := map[string]any{"type": "urn:streamcleat:problem:" + kind, "title": nethttp.StatusText(status),
+		"status": status, "detail": detail}
+	for k, v := range more {
+		details[k] = v
+	}
+	body, _ := json.Marshal(details)
+	return s.render(status, append([]gateway.Field{{Name: "Content-Type", Value: "application/problem+json"}}, fields...),
+		append(body, '\n'), last)
+}
+
+var warmths = map[control.Warmth]string{control.FoundWarm: "warm", control.BeganLoad: "load",
+	control.JoinedLoad: "joined"}
+
+// proxyErrors are the error types of RFC 9209 2.3 for the causes that have one.
+var proxyErrors = map[gateway.Cause]string{
+	gateway.TimeUp: "http_response_timeout", gateway.WorkerBroke: "connection_terminated",
+	gateway.WorkerGone: "destination_unavailable", gateway.WorkerFull: "connection_limit_reached",
+	gateway.NoRoom: "destination_unavailable", gateway.WorkerFailed: "http_protocol_error",
+	gateway.LoadFailed: "destination_not_found",
+}
+
+// final writes a final answer: 200 handled; 503 with Retry-After deferred; 502 or 504 dead-lettered.
+func (s *Session) final(a gateway.Answer, last bool) []byte {
+	timing := fmt.Sprintf("total;dur=%.1f", a.After*1000)
+	if w, ok := warmths[a.Warmth]; ok && a.Kind == gateway.Handled {
+		timing = w + ", " + timing
+	}
+	fields := []gateway.Field{{Name: "Server-Timing", Value: timing}}
+	if a.Repeat {
+		fields = append(fields, gateway.Field{Name: "Idempotent-Replayed", Value: "true"})
+	}
+	if a.Kind == gateway.Handled {
+		return s.render(200, append(fields, a.Fields...), a.Body, last)
+	}
+	status := fmt.Sprintf("%s; details=%q", s.name, a.Cause)
+	if e := proxyErrors[a.Cause]; e != "" {
+		status = fmt.Sprintf("%s; error=%s; details=%q", s.name, e, a.Cause)
+	}
+	fields = append(fields, gateway.Field{Name: "Proxy-Status", Value: status})
+	more := map[string]any{"cause": a.Cause.String(), "outcome": a.Kind.String(), "launches": a.Launches,
+		"event": map[string]string{"source": a.Identity.Source, "id": a.Identity.ID}}
+	if a.Worker != "" {
+		more["worker"] = a.Worker
+	}
+	code, detail := 502, "The event was given up; nothing is promised of what it did."
+	switch {
+	case a.Kind == gateway.Deferred:
+		code, detail = 503, "The event was not handled; sending it again is harmless."
+		more["retry-after"] = a.Pause
+		fields = append(fields, gateway.Field{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(a.Pause)))})
+	case a.Cause == gateway.TimeUp:
+		code = 504
+	case a.Cause == gateway.Unknown:
+		code, detail = 502, fmt.Sprintf("The configuration names no event type %.100q.", a.EventType)
+	}
+	return s.problem(code, a.Kind.String(), detail, fields, more, last)
+}
--- /dev/null
+++ b/gateway/types.go
@@ -0,0 +1,120 @@
+// Package gateway is the core that hosts one control.Router: it holds what is open (events and who asked for
+// them, launches, load orders, timers), joins repeats to their event and gives each asker one final answer. It
+// has no socket, no clock and no chance of its own: it is called with the time and what came in, and calls out
+// through Outside. Where an event runs is decided in control and nowhere here.
+package gateway
+
+import "streamcleat/control"
+
+// Asker is one request that waits for an answer; the caller picks the number and never uses it again.
+type Asker uint64
+
+// Identity is how an event is known again: CloudEvents source and id (CloudEvents 1.0, 3.1.1).
+type Identity struct{ Source, ID string }
+
+func (i Identity) String() string { return i.Source + "#" + i.ID }
+
+// Field is one header field that travels with an event or an answer.
+type Field struct{ Name, Value string }
+
+// Ask is one event as a front understood it.
+type Ask struct {
+	Identity
+	Type     string // event type
+	Tenant   string
+	Function string
+	Wait     float64 // seconds that the client waits from now on; 0: the event type's max age
+	Fields   []Field // for the worker: context attributes and the content type
+	Body     []byte
+	Repeated bool // the client marks it as a repeat
+}
+
+// Kind is how an event ended for its client.
+type Kind uint8
+
+const (
+	Handled Kind = iota
+	Deferred
+	DeadLettered
+)
+
+func (k Kind) String() string { return [...]string{"handled", "deferred", "dead-lettered"}[k] }
+
+// Answer is a final answer. Cause is one of the causes below, in words of RFC 9209 where it has one.
+type Answer struct {
+	Kind       Kind
+	Cause      Cause
+	Pause      float64 // seconds after which a deferred client may come back
+	Worker     string
+	Warmth     control.Warmth
+	Repeat     bool // kept from an earlier asker of the same event
+	Launches   int
+	Fields     []Field
+	Body       []byte
+	Identity   Identity
+	After      float64 // seconds from the event's coming in to its end
+	EventType  string
+	FunctionID string
+}
+
+// Cause tells why an event ended so.
+type Cause uint8
+
+const (
+	Answered     Cause = iota
+	NoRoom             // nobody could take it in time
+	TimeUp             // the client's time ran out first
+	WorkerFailed       // the last worker answered with an error
+	WorkerBroke        // the connection to the last worker broke in mid-launch
+	WorkerGone         // no connection to a worker could be had
+	WorkerFull         // the last worker turned it away
+	LoadFailed         // the function could not be loaded
+	Forgotten          // ended long ago: its answer is no longer held, and it must not run again
+	Stopping           // the front end stops
+	Unknown            // event type that the configuration doesn't name
+	Overflow           // more events are open than the front end may hold
+)
+
+var causes = [...]string{"answered", "no-room", "time-up", "worker-failed", "worker-broke", "worker-gone",
+	"worker-full", "load-failed", "forgotten", "stopping", "unknown-type", "overflow"}
+
+func (c Cause) String() string { return causes[c] }
+
+// Launch is one attempt that goes to a worker.
+type Launch struct {
+	Job      uint64 // number by which its end is told
+	Worker   control.WorkerID
+	Function string
+	Attempt  int     // 0 for the first
+	Limit    float64 // seconds after which the core abandons it
+	Identity Identity
+	Fields   []Field
+	Body     []byte
+}
+
+// Order asks a worker to hold copies of a function.
+type Order struct {
+	Job      uint64
+	Worker   control.WorkerID
+	Function string
+	Copies   int
+}
+
+// Reply is how a launch ended at its worker.
+type Reply struct {
+	Result control.Result
+	Warmth control.Warmth
+	Report control.Report
+	Fields []Field
+	Body   []byte
+}
+
+// Outside carries out what the core asks for. No method may call back into the core before it returns.
+type Outside interface {
+	Answer(to Asker, a Answer)
+	Launch(l Launch)
+	Load(o Order)
+	Abandon(job uint64) // a launch's time is up: its answer is no longer wanted and it counts as ended
+	Tell(message []byte)
+	Ended(a Answer) // once for each event, for logs and figures
+}
--- /dev/null
+++ b/timers/client.go
@@ -0,0 +1,191 @@
+package timers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	cloudevents "github.com/cloudevents/sdk-go/v2/event"
+	cehttp "github.com/cloudevents/sdk-go/v2/protocol/http"
+)
+
+// Outcome is how a firing ended for its client. Status is 0 where no answer came.
+type Outcome struct {
+	Firing
+	Front  string
+	Status int
+	Worker string
+	Took   time.Duration
+	Tries  int
+	Err    error
+	Replay bool // answered from an earlier asker of the same firing
+	Pause  time.Duration
+}
+
+// Client fires events at front ends over HTTP. Its fields are set before the first firing.
+type Client struct {
+	Source string   // CloudEvents source; the same for all clients of one crontab
+	Fronts []string // host:port of the front ends
+	HTTP   *http.Client
+	Log    *slog.Logger
+	MaxAge time.Duration   // how long it waits where the entry does not say
+	Repeat int             // further tries after a deferral or a lost answer, with the same identity
+	Once   map[string]bool // event types that are not tried again after a lost answer
+	// Trying is told of each try with the time that the client still waits; what it returns is told the status that
+	// came back, 0 where none did. It may be nil.
+	Trying func(f Firing, front string, left time.Duration) func(status int, err error)
+	Ended  func(Outcome) // told of each firing that Run made; may be nil
+}
+
+// Event writes a firing as a CloudEvent.
+func Event(source string, f Firing) cloudevents.Event {
+	e := cloudevents.New()
+	e.SetSource(source)
+	e.SetID(f.ID)
+	e.SetType(f.Entry.Type)
+	e.SetTime(f.Due.UTC())
+	e.SetExtension("function", f.Entry.Function)
+	if f.Entry.Tenant != "" {
+		e.SetExtension("tenant", f.Entry.Tenant)
+	}
+	if len(f.Entry.Data) > 0 {
+		e.SetData("application/json", f.Entry.Data)
+	}
+	return e
+}
+
+// Ranked orders front ends for an identity alike at every client, by the highest of a hash of both: two clients
+// that fire the same minute ask the same front end, which joins the two.
+func Ranked(fronts []string, id string) []string {
+	type ranked struct {
+		front string
+		rank  uint64
+	}
+	list := make([]ranked, len(fronts))
+	for i, f := range fronts {
+		h := fnv.New64a()
+		io.WriteString(h, f)
+		h.Write([]byte{0})
+		io.WriteString(h, id)
+		x := h.Sum64()
+		x = (x ^ x>>33) * 0xff51afd7ed558ccd
+		list[i] = ranked{f, x ^ x>>33}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].rank > list[j].rank || list[i].rank == list[j].rank && list[i].front < list[j].front
+	})
+	out := make([]string, len(list))
+	for i, r := range list {
+		out[i] = r.front
+	}
+	return out
+}
+
+// Fire sends one firing and waits for its end. A deferral and a lost connection are tried again, the next time at
+// the same front end (its memory knows the event), or at the next by rank where it can't be reached.
+func (c *Client) Fire(ctx context.Context, f Firing) Outcome {
+	wait := f.Entry.Wait
+	if wait == 0 {
+		wait = c.MaxAge
+	}
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	out := Outcome{Firing: f}
+	fronts := Ranked(c.Fronts, f.ID)
+	at := 0
+	for {
+		out.Front, out.Tries = fronts[at%len(fronts)], out.Tries+1
+		left := wait - time.Since(begin)
+		tried := func(int, error) {}
+		if c.Trying != nil {
+			tried = c.Trying(f, out.Front, left)
+		}
+		reached := c.try(ctx, &out, left)
+		tried(out.Status, out.Err)
+		out.Took = time.Since(begin)
+		final := out.Status != 0 && out.Status != http.StatusServiceUnavailable
+		lost := out.Status == 0 && reached && c.Once[f.Entry.Type] // it may have run
+		if final || lost || out.Tries > c.Repeat || ctx.Err() != nil || out.Took+out.Pause >= wait {
+			break
+		}
+		if !reached {
+			at++
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(out.Pause, 20*time.Millisecond)):
+		}
+	}
+	return out
+}
+
+func (c *Client) try(ctx context.Context, out *Outcome, left time.Duration) (reached bool) {
+	out.Status, out.Err, out.Pause, out.Worker = 0, nil, 0, ""
+	e := Event(c.Source, out.Firing)
+	if out.Tries > 1 {
+		e.SetExtension("repeat", "true")
+	}
+	req, err := cehttp.NewHTTPRequestFromEvent(ctx, "http://"+out.Front+"/events", e)
+	if err != nil {
+		out.Err = err
+		return true
+	}
+	req.Header.Set("Prefer", "wait="+strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		out.Err = err
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil {
+		out.Err = fmt.Errorf("answer cut off: %w", err)
+		return true
+	}
+	out.Status = resp.StatusCode
+	out.Replay = resp.Header.Get("Idempotent-Replayed") != ""
+	if n, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		out.Pause = time.Duration(n) * time.Second
+	}
+	return true
+}
+
+// Run fires what the plan has due until the context ends, then waits for what is out. clock is the time of day and
+// until turns a wait of that clock into a real one.
+func (c *Client) Run(ctx context.Context, p *Plan, clock func() time.Time, until func(time.Time) time.Duration) {
+	var out sync.WaitGroup
+	defer out.Wait()
+	for {
+		for _, f := range p.Due(clock()) {
+			out.Add(1)
+			go func() {
+				defer out.Done()
+				o := c.Fire(context.WithoutCancel(ctx), f)
+				if c.Ended != nil {
+					c.Ended(o)
+				}
+				if c.Log != nil {
+					c.Log.Info("fired", "event", f.ID, "status", o.Status, "tries", o.Tries, "took", o.Took, "error", o.Err)
+				}
+			}()
+		}
+		pause := time.Minute // the clock may be set meanwhile
+		if next, ok := p.Next(); ok {
+			pause = min(max(until(next), time.Millisecond), pause)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
--- /dev/null
+++ b/timers/plan.go
@@ -0,0 +1,148 @@
+package timers
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Firing is one firing of an entry. ID is its identity: the entry and the minute, in UTC, that it was due.
+type Firing struct {
+	Entry *Entry
+	Due   time.Time
+	ID    string
+	Late  time.Duration
+}
+
+// ID is the identity of a firing: the entry and the minute, in UTC.
+func ID(e *Entry, due time.Time) string {
+	return e.Key() + "/" + due.UTC().Format("2006-01-02T15:04Z")
+}
+
+const (
+	lateAfter = time.Minute   // a firing made later than this was missed
+	backMost  = 3 * time.Hour // a clock set back by less is waited out, as cron does; past it the plan begins anew
+	missedMax = 1000          // firings of one entry that one call makes up for, against a bound set too wide
+)
+
+type planned struct {
+	entry *Entry
+	due   time.Time
+	no    int
+}
+
+type byDue []*planned
+
+func (p byDue) Len() int { return len(p) }
+func (p byDue) Less(i, j int) bool {
+	return p[i].due.Before(p[j].due) || p[i].due.Equal(p[j].due) && p[i].no < p[j].no
+}
+func (p byDue) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
+func (p *byDue) Push(x any)   { *p = append(*p, x.(*planned)) }
+func (p *byDue) Pop() any {
+	last := (*p)[len(*p)-1]
+	*p = (*p)[:len(*p)-1]
+	return last
+}
+
+// Plan knows what is due when. What is due is told once, in the order of due times and then of the crontab.
+//
+// At a clock change in spring an entry whose minute is left out does not fire that day. In autumn an entry with
+// fixed hours fires at the first of the two like minutes only if the hour comes but once in its fields; one that
+// fires every hour or every so many minutes fires in both, as they are different minutes in UTC.
+type Plan struct {
+	heap byDue
+	now  time.Time
+}
+
+// NewPlan plans from a time on; what was due at it or before is past.
+func NewPlan(entries []Entry, from time.Time) *Plan {
+	p := &Plan{now: from}
+	for i := range entries {
+		p.add(&entries[i], i, from)
+	}
+	return p
+}
+
+// Resume plans with the last minute that each entry is known to have fired for, by its key; entries that are not
+// named there plan from the time from on.
+func Resume(entries []Entry, last map[string]time.Time, from time.Time) *Plan {
+	p := &Plan{now: from}
+	for i := range entries {
+		at, known := last[entries[i].Key()]
+		if !known || at.After(from.Add(backMost)) {
+			at = from
+		}
+		p.add(&entries[i], i, at)
+	}
+	return p
+}
+
+func (p *Plan) add(e *Entry, no int, from time.Time) {
+	if due := e.schedule.Next(from.In(e.Zone)); !due.IsZero() { // zero: a day that no year has
+		heap.Push(&p.heap, &planned{e, due, no})
+	}
+}
+
+// Next is the next time that something is due; false where nothing ever is.
+func (p *Plan) Next() (time.Time, bool) {
+	if len(p.heap) == 0 {
+		return time.Time{}, false
+	}
+	return p.heap[0].due, true
+}
+
+// Due hands out what is due by now. What was missed is treated as its entry says; made-up firings keep the
+// identity of their own minute, so that one that was fired after all is not run again.
+func (p *Plan) Due(now time.Time) []Firing {
+	if now.Before(p.now.Add(-backMost)) {
+		for _, e := range p.heap {
+			if due := e.entry.schedule.Next(now.In(e.entry.Zone)); !due.IsZero() {
+				e.due = due
+			}
+		}
+		heap.Init(&p.heap)
+		p.now = now
+	}
+	if now.After(p.now) {
+		p.now = now
+	}
+	var due []Firing
+	for len(p.heap) > 0 && !p.heap[0].due.After(now) {
+		e := p.heap[0]
+		due = append(due, p.catchUp(e, now)...)
+		if e.due.IsZero() {
+			heap.Pop(&p.heap)
+		} else {
+			heap.Fix(&p.heap, 0)
+		}
+	}
+	return due
+}
+
+// catchUp takes all that one entry has due by now and moves it past now.
+func (p *Plan) catchUp(e *planned, now time.Time) []Firing {
+	var due, missed []Firing
+	// Far back, minute by minute would take long; nothing older than the bound is ever made up for.
+	if oldest := now.Add(-max(e.entry.Within, 2*lateAfter)); e.due.Before(oldest) {
+		e.due = e.entry.schedule.Next(oldest.Add(-time.Second).In(e.entry.Zone))
+	}
+	for !e.due.IsZero() && !e.due.After(now) {
+		f := Firing{Entry: e.entry, Due: e.due, ID: ID(e.entry, e.due), Late: now.Sub(e.due)}
+		if f.Late > lateAfter {
+			missed = append(missed, f)
+		} else {
+			due = append(due, f)
+		}
+		e.due = e.entry.schedule.Next(e.due)
+	}
+	switch {
+	case e.entry.Misfire == Skip || len(missed) == 0:
+		return due
+	case e.entry.Misfire == Once:
+		return append(missed[len(missed)-1:], due...)
+	}
+	if len(missed) > missedMax {
+		missed = missed[len(missed)-missedMax:]
+	}
+	return append(missed, due...)
+}
--- /dev/null
+++ b/workers/oip.go
@@ -0,0 +1,143 @@
+// Package workers speaks to workers: the Open Inference Protocol v2 over HTTP/1.1 with its repository extension,
+// load reports (ORCA) and Server-Timing in answers, the list of workers (Prometheus file service discovery), and
+// the state of the connections to them. It has no socket and no clock; netloop carries its bytes.
+package workers
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"streamcleat/control"
+	"streamcleat/gateway"
+	"streamcleat/h1"
+)
+
+func request(target, addr, via string, fields []gateway.Field, body []byte) []byte {
+	var b bytes.Buffer
+	b.Grow(256 + len(body))
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nVia: 1.1 %s\r\nContent-Length: %d\r\n", target, addr, via, len(body))
+	for _, f := range fields {
+		b.WriteString(f.Name)
+		b.WriteString(": ")
+		b.WriteString(f.Value)
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(body)
+	return b.Bytes()
+}
+
+// Infer writes a launch: POST /v2/models/{function}/infer, the event's content passed through with its context
+// attributes as ce- fields. Request-Timeout tells the seconds after which nobody waits any more; via names the front
+// end (RFC 9110 7.6.3).
+func Infer(addr, via string, l gateway.Launch) []byte {
+	fields := append([]gateway.Field{{Name: "Request-Timeout", Value: strconv.FormatFloat(l.Limit, 'f', 3, 64)}},
+		l.Fields...)
+	return request("/v2/models/"+url.PathEscape(l.Function)+"/infer", addr, via, fields, l.Body)
+}
+
+// Load writes a load order of the repository extension; the number of copies is a load parameter.
+func Load(addr, via string, o gateway.Order) []byte {
+	body, _ := json.Marshal(map[string]any{"parameters": map[string]any{"copies": o.Copies}})
+	return request("/v2/repository/models/"+url.PathEscape(o.Function)+"/load", addr, via,
+		[]gateway.Field{{Name: "Content-Type", Value: "application/json"}}, body)
+}
+
+// passed names what of a worker's answer goes on to the client beside ce- fields.
+var passed = []string{"Content-Type", "Content-Encoding", "Content-Language"}
+
+// Answer reads how a launch ended. 2xx handled it. 404 tells that the function is not loaded there, 429 and 503
+// that the worker turned it away: of these three a worker promises that the event never ran. Else it may have.
+func Answer(m *h1.Message) gateway.Reply {
+	r := gateway.Reply{Report: report(m.Header.Get("Endpoint-Load-Metrics")),
+		Warmth: warmth(strings.Join(m.Header.Values("Server-Timing"), ","))}
+	switch {
+	case m.Status >= 200 && m.Status < 300:
+		r.Result, r.Body = control.Handled, m.Body
+		for _, name := range passed {
+			for _, v := range m.Header.Values(name) {
+				r.Fields = append(r.Fields, gateway.Field{Name: name, Value: v})
+			}
+		}
+	case m.Status == 404:
+		r.Result = control.Missed
+	case m.Status == 429 || m.Status == 503:
+		r.Result = control.TurnedAway
+	default:
+		r.Result = control.Failed
+	}
+	return r
+}
+
+// Stand reads how a load order ended and how many copies stand.
+func Stand(m *h1.Message) (control.Result, int) {
+	switch {
+	case m.Status >= 200 && m.Status < 300:
+		var said struct {
+			Parameters struct {
+				Copies *int `json:"copies"`
+			} `json:"parameters"`
+		}
+		if json.Unmarshal(m.Body, &said) == nil && said.Parameters.Copies != nil {
+			return control.Handled, max(*said.Parameters.Copies, 0)
+		}
+		return control.Handled, 1 // the protocol's plain answer says only that it is loaded
+	case m.Status == 429 || m.Status == 503:
+		return control.TurnedAway, 0
+	}
+	return control.Failed, 0
+}
+
+// timings are the Server-Timing metrics (W3C Server Timing) by which a worker tells how an event met its copy.
+var timings = map[string]control.Warmth{
+	"warm": control.FoundWarm, "load": control.BeganLoad, "joined": control.JoinedLoad,
+	"load-failed": control.LoadFailed,
+}
+
+func warmth(field string) control.Warmth {
+	for _, metric := range strings.Split(field, ",") {
+		name, _, _ := strings.Cut(metric, ";")
+		if w, ok := timings[strings.ToLower(strings.TrimSpace(name))]; ok {
+			return w
+		}
+	}
+	return control.WarmthUnknown
+}
+
+// report reads an ORCA load report in its TEXT or JSON form; figures that are missing or no numbers say nothing.
+func report(field string) (r control.Report) {
+	form, rest, _ := strings.Cut(strings.TrimSpace(field), " ")
+	take := func(name string, v float64) {
+		switch strings.TrimPrefix(name, "named_metrics.") {
+		case "running":
+			r.Running, r.Known = max(v, 0), true
+		case "waiting":
+			r.Waiting, r.Known = max(v, 0), true
+		}
+	}
+	switch form {
+	case "TEXT":
+		for _, pair := range strings.Split(rest, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+			if v, err := strconv.ParseFloat(value, 64); err == nil && v < 1e9 {
+				take(name, v)
+			}
+		}
+	case "JSON":
+		var said struct {
+			Named map[string]float64 `json:"named_metrics"`
+		}
+		if json.Unmarshal([]byte(rest), &said) == nil {
+			for _, name := range []string{"running", "waiting"} {
+				if v, ok := said.Named[name]; ok && v < 1e9 {
+					take(name, v)
+				}
+			}
+		}
+	}
+	return r
+}
