--- /dev/null
+++ b/gateway/core_test.go
@@ -0,0 +1,473 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"streamcleat/control"
+)
+
+// rig plays the outside of a core: it notes what the core asks for and answers when the test says so.
+type rig struct {
+	t        *testing.T
+	c        *Core
+	now      float64
+	answers  map[Asker][]Answer
+	launches []Launch
+	orders   []Order
+	left     map[uint64]bool // launches that were abandoned
+	out      map[Identity]uint64
+	ran      map[Identity]bool // some launch of it may have run
+	once     map[Identity]bool // it must not run again then
+	twice    []string
+}
+
+func (r *rig) Answer(to Asker, a Answer) { r.answers[to] = append(r.answers[to], a) }
+func (r *rig) Launch(l Launch) {
+	if job, busy := r.out[l.Identity]; busy {
+		r.twice = append(r.twice, fmt.Sprintf("%v launched as %d while %d is out", l.Identity, l.Job, job))
+	}
+	if r.once[l.Identity] && r.ran[l.Identity] {
+		r.twice = append(r.twice, fmt.Sprintf("%v launched though it may have run", l.Identity))
+	}
+	r.out[l.Identity] = l.Job
+	r.launches = append(r.launches, l)
+}
+func (r *rig) Load(o Order) { r.orders = append(r.orders, o) }
+func (r *rig) Abandon(job uint64) {
+	r.left[job] = true
+	r.over(job, true)
+}
+func (r *rig) over(job uint64, mayRun bool) {
+	for id, j := range r.out {
+		if j == job {
+			delete(r.out, id)
+			r.ran[id] = r.ran[id] || mayRun
+		}
+	}
+}
+func (r *rig) Tell([]byte)  {}
+func (r *rig) Ended(Answer) {}
+
+const start = 1000.0
+
+func deployment() *control.Deployment {
+	return &control.Deployment{FrontEnds: 1, MissAnswers: true, MayOrder: true, MaxLaunches: 4, MaxPause: 0.5, KeepWarm: 8,
+		RoundGap: 0.004, ColdShare: 0.3, WarmWithin: 10, FallFactor: 2.5, FallWindow: 1.5, EventTypes: []control.EventType{
+			{Name: "again", TargetTime: 1.5, MaxAge: 4},
+			{Name: "keyed", TargetTime: 1.5, MaxAge: 4, Repeat: control.Keyed, Remembered: 6},
+			{Name: "once", TargetTime: 1.5, MaxAge: 4, Repeat: control.AtMostOnce}}}
+}
+
+func newRig(t *testing.T, change func(*Settings)) *rig {
+	r := &rig{t: t, now: start, answers: map[Asker][]Answer{}, left: map[uint64]bool{}, out: map[Identity]uint64{},
+		ran: map[Identity]bool{}, once: map[Identity]bool{}}
+	set := Settings{Deployment: deployment(), Functions: func(string) Function { return Function{Lanes: 2} }, Margin: 0.1,
+		OrderLimit: 5, MostOpen: 100, Remember: 60, RememberMost: 1 << 20, Seed: 7}
+	if change != nil {
+		change(&set)
+	}
+	r.c = New(set, r, start)
+	r.c.Workers(start, true, []control.Worker{{ID: "wk-a", Size: 1}, {ID: "wk-b", Size: 1}, {ID: "wk-c", Size: 1}})
+	return r
+}
+
+// to moves the clock and fires what comes due on the way.
+func (r *rig) to(at float64) {
+	for r.c.Next() <= at {
+		r.now = max(r.now, r.c.Next())
+		r.c.Tick(r.now)
+	}
+	r.now = at
+	r.c.Tick(at)
+}
+
+func (r *rig) take(to Asker, kind, id string, wait float64) {
+	r.once[Identity{"/t", id}] = kind == "once"
+	r.c.Take(r.now, to, Ask{Identity: Identity{"/t", id}, Type: kind, Function: "f", Wait: wait})
+}
+
+// load answers every order that is out: the copies stand.
+func (r *rig) load() {
+	for _, o := range r.orders {
+		r.c.Loaded(r.now, o.Job, control.Handled, 1)
+	}
+	r.orders = nil
+}
+
+func (r *rig) end(job uint64, res control.Result) {
+	r.over(job, res < control.TurnedAway)
+	r.c.Launched(r.now, job, Reply{Result: res, Body: []byte("done")})
+}
+
+// launched takes an event to its first launch.
+func (r *rig) launched(to Asker, kind, id string) Launch {
+	r.take(to, kind, id, 0)
+	if len(r.launches) == 0 {
+		r.to(r.now + 0.2)
+		r.load()
+	}
+	if len(r.launches) == 0 {
+		r.t.Fatalf("%s was not launched; answers %v", id, r.answers)
+	}
+	return r.launches[len(r.launches)-1]
+}
+
+func (r *rig) one(to Asker) Answer {
+	r.t.Helper()
+	if len(r.answers[to]) != 1 {
+		r.t.Fatalf("asker %d has %d answers: %+v", to, len(r.answers[to]), r.answers[to])
+	}
+	return r.answers[to][0]
+}
+
+func (r *rig) want(to Asker, kind Kind, why Cause) {
+	r.t.Helper()
+	if a := r.one(to); a.Kind != kind || a.Cause != why {
+		r.t.Fatalf("asker %d got %s (%s), not %s (%s)", to, a.Kind, a.Cause, kind, why)
+	}
+}
+
+func TestSameMinuteFiredTwiceAtOnceAndLater(t *testing.T) {
+	r := newRig(t, nil)
+	l := r.launched(1, "once", "minute")
+	r.take(2, "once", "minute", 0)
+	r.to(r.now + 1)
+	r.take(3, "once", "minute", 0)
+	r.end(l.Job, control.Handled)
+	r.to(r.now + 5)
+	r.take(4, "once", "minute", 0)
+	for a := Asker(1); a <= 4; a++ {
+		r.want(a, Handled, Answered)
+		if got := r.one(a); string(got.Body) != "done" || got.Repeat != (a > 1) {
+			t.Fatalf("asker %d got body %q, repeat %v", a, got.Body, got.Repeat)
+		}
+	}
+	if len(r.launches) != 1 {
+		t.Fatalf("%d launches for one event", len(r.launches))
+	}
+}
+
+func TestWorkerThatNeverAnswers(t *testing.T) {
+	for kind, want := range map[string]Kind{"again": Deferred, "keyed": Deferred, "once": DeadLettered} {
+		r := newRig(t, nil)
+		l := r.launched(1, kind, "e")
+		r.to(start + 3.89)
+		if len(r.answers[1]) != 0 {
+			t.Fatalf("%s: answered before its time was up", kind)
+		}
+		r.to(start + 3.91)
+		r.want(1, want, TimeUp)
+		if !r.left[l.Job] {
+			t.Fatalf("%s: the launch was not given up", kind)
+		}
+		r.end(l.Job, control.Handled) // the answer comes after the deadline
+		r.one(1)
+		if n := r.c.Counts(); n.Open+n.Out != 0 {
+			t.Fatalf("%s: %+v", kind, n)
+		}
+	}
+}
+
+func TestBrokenAndNeverSent(t *testing.T) {
+	for _, c := range []struct {
+		kind  string
+		res   control.Result
+		again bool
+		want  Kind
+		why   Cause
+	}{
+		{"again", control.Broken, true, 0, 0},
+		{"keyed", control.Broken, true, 0, 0},
+		{"once", control.Broken, false, DeadLettered, WorkerBroke},
+		{"once", control.Failed, false, DeadLettered, WorkerFailed},
+		{"again", control.Unreachable, true, 0, 0},
+		{"keyed", control.Unreachable, true, 0, 0},
+		{"once", control.Unreachable, true, 0, 0},
+		{"once", control.TurnedAway, true, 0, 0},
+	} {
+		r := newRig(t, nil)
+		l := r.launched(1, c.kind, "e")
+		r.end(l.Job, c.res)
+		if !c.again {
+			r.want(1, c.want, c.why)
+			continue
+		}
+		r.to(r.now + 0.2)
+		r.load()
+		if len(r.launches) != 2 || len(r.answers[1]) != 0 {
+			t.Errorf("%s after %v: %d launches, answers %v", c.kind, c.res, len(r.launches), r.answers[1])
+		}
+	}
+}
+
+func TestHungUpRunsOnForARepeat(t *testing.T) {
+	r := newRig(t, nil)
+	l := r.launched(1, "once", "e")
+	r.c.HungUp(r.now, 1)
+	r.take(2, "once", "e", 0)
+	r.end(l.Job, control.Handled)
+	if len(r.answers[1]) != 0 {
+		t.Fatal("a client that left got an answer")
+	}
+	r.want(2, Handled, Answered)
+	if len(r.launches) != 1 {
+		t.Fatalf("%d launches", len(r.launches))
+	}
+	// The same with an end that may have run: the repeat of a redeliverable event runs anew, of the other it must not.
+	for kind, want := range map[string]int{"again": 2, "once": 1} {
+		r := newRig(t, nil)
+		l := r.launched(1, kind, "e")
+		r.c.HungUp(r.now, 1)
+		r.take(2, kind, "e", 0)
+		r.end(l.Job, control.Broken)
+		r.to(r.now + 0.2)
+		r.load()
+		if len(r.launches) != want {
+			t.Errorf("%s: %d launches, not %d", kind, len(r.launches), want)
+		}
+		if want == 1 {
+			r.want(2, DeadLettered, WorkerBroke)
+		}
+	}
+}
+
+func TestNobodyAsksNothingIsLaunched(t *testing.T) {
+	r := newRig(t, nil)
+	r.take(1, "again", "e", 0)
+	r.c.HungUp(r.now, 1)
+	r.to(r.now + 0.2)
+	r.load()
+	if len(r.launches) != 0 {
+		t.Fatal("launched though its client had left")
+	}
+	if n := r.c.Counts(); n.Open != 0 {
+		t.Fatalf("%+v", n)
+	}
+}
+
+func TestJoinerWithLessTimeIsAnsweredInItsTime(t *testing.T) {
+	for kind, want := range map[string]Kind{"again": Deferred, "once": DeadLettered} {
+		r := newRig(t, nil)
+		l := r.launched(1, kind, "e")
+		at := r.now
+		r.take(2, kind, "e", 1)
+		r.to(at + 0.95)
+		r.want(2, want, TimeUp)
+		r.end(l.Job, control.Handled)
+		r.want(1, Handled, Answered)
+	}
+}
+
+func TestDeferredKeyedRunsAgainOnlyWhileRemembered(t *testing.T) {
+	r := newRig(t, nil)
+	r.launched(1, "keyed", "e")
+	ranAt := r.now
+	r.to(start + 3.95)
+	r.want(1, Deferred, TimeUp)
+	r.take(2, "keyed", "e", 0) // within: it runs again, but only until the workers forget
+	r.to(ranAt + 6.5)
+	r.one(2)
+	for _, again := range r.launches[1:] {
+		if again.Limit > ranAt+6-start-3.95+0.01 {
+			t.Fatalf("the second try may run for %.2f s, past what the workers remember", again.Limit)
+		}
+	}
+	n := len(r.launches)
+	r.take(3, "keyed", "e", 0)
+	r.to(r.now + 1)
+	r.load()
+	if a := r.one(3); a.Kind != DeadLettered {
+		t.Fatalf("after the workers forgot it: %s (%s)", a.Kind, a.Cause)
+	}
+	if len(r.launches) != n {
+		t.Fatal("launched again after the workers forgot it")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.MostOpen = 1 })
+	r.take(1, "nonsense", "a", 0)
+	r.want(1, DeadLettered, Unknown)
+	r.take(2, "again", "b", 0)
+	r.take(3, "again", "c", 0)
+	r.want(3, Deferred, Overflow)
+	r.take(4, "again", "b", 0) // a repeat is no further event
+	r.c.Stop(r.now)
+	r.take(5, "again", "d", 0)
+	r.want(5, Deferred, Stopping)
+	r.c.Finish(r.now)
+	r.want(2, Deferred, Stopping)
+	r.want(4, Deferred, Stopping)
+	if !r.c.Quiet() {
+		t.Fatal("not quiet after Finish")
+	}
+	r = newRig(t, nil)
+	r.take(1, "again", "e", -1) // its client had stopped waiting when it came
+	r.want(1, Deferred, TimeUp)
+}
+
+func TestFinishDeadLettersWhatMayRun(t *testing.T) {
+	for kind, want := range map[string]Kind{"again": Deferred, "keyed": DeadLettered, "once": DeadLettered} {
+		r := newRig(t, nil)
+		l := r.launched(1, kind, "e")
+		r.c.Finish(r.now)
+		r.want(1, want, Stopping)
+		if !r.left[l.Job] {
+			t.Errorf("%s: its launch goes on", kind)
+		}
+	}
+}
+
+func TestDrainGoneAndBackWhileOut(t *testing.T) {
+	r := newRig(t, nil)
+	l := r.launched(1, "again", "e")
+	var list []control.Worker
+	for _, id := range []control.WorkerID{"wk-a", "wk-b", "wk-c"} {
+		list = append(list, control.Worker{ID: id, Size: 1, Phase: control.Gone})
+	}
+	r.c.Workers(r.now, false, list)
+	r.take(2, "again", "other", 0)
+	r.want(2, Deferred, NoRoom) // all workers gone: at once
+	r.end(l.Job, control.Broken)
+	r.want(1, Deferred, WorkerBroke)
+	n := len(r.launches) + len(r.orders)
+	r.to(r.now + 3)
+	if len(r.launches)+len(r.orders) != n {
+		t.Fatal("something went to a worker that is gone")
+	}
+}
+
+func TestKeptAnswersAreBounded(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.RememberMost, s.MostOpen = 40, 1000 })
+	for i := range 50 {
+		kind := []string{"again", "once"}[i%2]
+		n := len(r.launches)
+		r.take(Asker(i+1), kind, fmt.Sprint(i), 0)
+		if len(r.launches) == n {
+			r.to(r.now + 0.1)
+			r.load()
+		}
+		r.end(r.launches[len(r.launches)-1].Job, control.Handled)
+		r.to(r.now + 0.01)
+	}
+	if n := r.c.Counts(); n.KeptBytes > 40 || n.Handled != 50 {
+		t.Fatalf("%+v", n)
+	}
+	r.take(1000, "once", "1", 0) // its body is gone, but it must not run again
+	r.want(1000, DeadLettered, Forgotten)
+	r.to(r.now + 61)
+	if n := r.c.Counts(); n.Kept != 0 || n.KeptBytes != 0 || len(r.c.age) != 0 || len(r.c.bodies) != 0 {
+		t.Fatalf("after the remembered time: %+v, %d, %d", n, len(r.c.age), len(r.c.bodies))
+	}
+}
+
+// TestAnythingInAnyOrder plays random days against the core: clients ask, repeat and leave, workers answer in any
+// way or never, the list changes. Every asker that stays gets one answer in its time, and no event is out twice.
+func TestAnythingInAnyOrder(t *testing.T) {
+	for seed := range uint64(150) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		r := newRig(t, nil)
+		due := map[Asker]float64{}
+		gone := map[Asker]bool{}
+		kindOf := map[string]string{}
+		var asker Asker
+		results := []control.Result{control.Handled, control.Handled, control.Handled, control.Failed, control.Broken,
+			control.TurnedAway, control.Unreachable, control.Missed}
+		for range 400 {
+			switch rng.IntN(10) {
+			case 0, 1, 2:
+				asker++
+				id := fmt.Sprint(rng.IntN(40))
+				if kindOf[id] == "" {
+					kindOf[id] = []string{"again", "keyed", "once"}[rng.IntN(3)]
+				}
+				wait := 0.3 + 4*rng.Float64()
+				due[asker] = r.now + min(wait, 4)
+				r.take(asker, kindOf[id], id, wait)
+			case 3:
+				if asker > 0 {
+					a := Asker(rng.Uint64N(uint64(asker)) + 1)
+					if len(r.answers[a]) == 0 {
+						gone[a] = true
+						r.c.HungUp(r.now, a)
+					}
+				}
+			case 4, 5, 6:
+				var out []uint64
+				for _, l := range r.launches {
+					if r.out[l.Identity] == l.Job {
+						out = append(out, l.Job)
+					}
+				}
+				if len(out) > 0 {
+					r.end(out[rng.IntN(len(out))], results[rng.IntN(len(results))])
+				}
+			case 7:
+				if len(r.orders) > 0 {
+					o := r.orders[0]
+					r.orders = r.orders[1:]
+					r.c.Loaded(r.now, o.Job, []control.Result{control.Handled, control.TurnedAway, control.Failed}[rng.IntN(3)], rng.IntN(2))
+				}
+			case 8:
+				wk := control.Worker{ID: control.WorkerID("wk-" + string(rune('a'+rng.IntN(3)))), Size: 1, Phase: control.Phase(rng.IntN(3))}
+				if wk.Phase == control.Serving && rng.IntN(2) == 0 {
+					wk.Born = r.now
+				}
+				r.c.Workers(r.now, false, []control.Worker{wk})
+			case 9:
+				r.to(r.now + rng.Float64())
+			}
+		}
+		r.to(r.now + 10)
+		for a := Asker(1); a <= asker; a++ {
+			switch n := len(r.answers[a]); {
+			case gone[a] && n > 0:
+				t.Fatalf("seed %d: asker %d left and got an answer", seed, a)
+			case !gone[a] && n != 1:
+				t.Fatalf("seed %d: asker %d has %d answers", seed, a, n)
+			}
+		}
+		if len(r.twice) > 0 {
+			t.Fatalf("seed %d: %s", seed, r.twice[0])
+		}
+		n := r.c.Counts()
+		if n.Open+n.Out > 0 || len(r.c.asking)+len(r.c.open) > 0 {
+			t.Fatalf("seed %d: left over %+v", seed, n)
+		}
+		r.to(r.now + 120)
+		if n := r.c.Counts(); n.Kept > 0 || n.Armed > 2 {
+			t.Fatalf("seed %d: kept over %+v", seed, n)
+		}
+	}
+}
+
+func BenchmarkEvent(b *testing.B) {
+	r := newRig(nil, nil)
+	quiet := &bare{}
+	r.c = New(r.c.set, quiet, start)
+	r.c.Workers(start, true, []control.Worker{{ID: "wk-a", Size: 1}, {ID: "wk-b", Size: 1}})
+	now := start
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += 0.0005
+		r.c.Tick(now)
+		r.c.Take(now, Asker(i+1), Ask{Identity: Identity{"/b", fmt.Sprint(i)}, Type: "again", Function: "f"})
+		if quiet.order != 0 {
+			r.c.Loaded(now, quiet.order, control.Handled, 1)
+			quiet.order = 0
+		}
+		r.c.Launched(now+0.0001, quiet.job, Reply{Result: control.Handled, Warmth: control.FoundWarm})
+	}
+}
+
+// bare is an outside that keeps nothing.
+type bare struct{ job, order uint64 }
+
+func (o *bare) Answer(Asker, Answer) {}
+func (o *bare) Launch(l Launch)      { o.job = l.Job }
+func (o *bare) Load(l Order)         { o.order = l.Job }
+func (o *bare) Abandon(uint64)       {}
+func (o *bare) Tell([]byte)          {}
+func (o *bare) Ended(Answer)         {}
--- a/h1/h1.go
+++ b/h1/h1.go
@@ -257,6 +257,8 @@
 			return bad("line of the head ends without a carriage return")
 		case c == '\r' && head[i+1] != '\n':
 			return bad("carriage return within a line of the head")
+		case (c == ' ' || c == '\t') && i > 0 && head[i-1] == '\n':
+			return bad("folded line in the header")
 		}
 	}
 	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
@@ -268,6 +270,11 @@
 	if err != nil {
 		return bad("header: %v", err)
 	}
+	for name := range fields {
+		if strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c) }) {
+			return bad("header: field name %.40q is not a token", name)
+		}
+	}
 	m := &Message{Header: nethttp.Header(fields)}
 	var version string
 	if f.response {
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -191,7 +191,14 @@
 	if err != nil {
 		return err
 	}
-	got, err := s.eng.Register(gnet.NewNetConnContext(context.Background(), c))
+	var got <-chan gnet.RegisteredResult
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		// gnet calls OnBoot before it has its loops.
+		got, err = s.eng.Register(gnet.NewNetConnContext(context.Background(), c))
+		if err == nil || time.Now().After(until) {
+			break
+		}
+	}
 	if err != nil {
 		return err
 	}
