--- a/config/config.go
+++ b/config/config.go
@@ -375,9 +375,18 @@
 		Message: h1.Limits{Head: c.Limits.Head, Body: max(c.Limits.Body, 1<<20)}}
 }
 
+func (c *Config) maxAge(eventType string) float64 {
+	for _, t := range c.EventTypes {
+		if t.Name == eventType {
+			return t.MaxAge
+		}
+	}
+	return 0
+}
+
 // Front is what bounds client connections.
 func (c *Config) Front() fronthttp.Limits {
 	l := c.Limits
 	return fronthttp.Limits{Message: h1.Limits{Head: l.Head, Body: l.Body}, Pipeline: l.Pipeline, Arrival: l.Arrival,
-		Idle: l.Idle, Unread: l.Unread}
+		Idle: l.Idle, Unread: l.Unread, MaxAge: c.maxAge}
 }
--- a/front/http/event.go
+++ b/front/http/event.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	nethttp "net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -54,8 +56,20 @@
 	if v := m.Header.Get("Ce-Specversion"); !structured && v != "1.0" {
 		return ask, &fault{400, "invalid-event", fmt.Sprintf("attribute specversion: %q is not 1.0", v)}
 	}
-	e, err := cehttp.NewEventFromHTTPRequest(&nethttp.Request{Method: m.Method, Header: m.Header,
-		URL: &url.URL{Path: m.Target}, Body: body{bytes.NewReader(m.Body)}, ContentLength: int64(len(m.Body))})
+	header := m.Header
+	for _, name := range slices.Sorted(maps.Keys(m.Header)) { // the library panics at an empty name
+		attribute, is := strings.CutPrefix(name, "Ce-")
+		if is && (attribute == "" || strings.ContainsFunc(attribute, func(r rune) bool {
+			return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9')
+		})) {
+			return ask, &fault{400, "invalid-event", fmt.Sprintf("field %.40q: an attribute's name is of letters and digits", name)}
+		}
+	}
+	if !structured {
+		header = unquoted(m.Header)
+	}
+	e, err := cehttp.NewEventFromHTTPRequest(&nethttp.Request{Method: m.Method, Header: header,
+		URL: &url.URL{Path: m.Target}, Body: content{bytes.NewReader(m.Body)}, ContentLength: int64(len(m.Body))})
 	if err != nil {
 		return ask, &fault{400, "invalid-event", "not a CloudEvent: " + err.Error()}
 	}
@@ -169,6 +183,28 @@
 	return fields
 }
 
+// unquoted decodes the values of ce- fields (HTTP binding 3.1.3.2): double quotes first, then one round of percent
+// decoding. The library leaves both to its caller. What is no percent encoding stays as it is.
+func unquoted(header nethttp.Header) nethttp.Header {
+	out := make(nethttp.Header, len(header))
+	for name, values := range header {
+		if strings.HasPrefix(name, "Ce-") && len(values) > 0 {
+			v := values[0]
+			if len(v) >= 2 && v[0] == '"' && v[len(v)-1] == '"' {
+				v = strings.NewReplacer(`\\`, `\`, `\"`, `"`).Replace(v[1 : len(v)-1])
+			}
+			if strings.Contains(v, "%") {
+				if plain, err := url.PathUnescape(v); err == nil {
+					v = plain
+				}
+			}
+			values = []string{v}
+		}
+		out[name] = values
+	}
+	return out
+}
+
 // quote percent-encodes what a field value may not hold (HTTP binding 3.1.3.2), so that nothing in an attribute
 // can end the field.
 func quote(v string) string {
@@ -189,6 +225,6 @@
 	return v
 }
 
-type body struct{ *bytes.Reader }
+type content struct{ *bytes.Reader }
 
-func (body) Close() error { return nil }
+func (content) Close() error { return nil }
--- a/front/http/session.go
+++ b/front/http/session.go
@@ -20,10 +20,11 @@
 // Limits of one client connection; times in seconds.
 type Limits struct {
 	Message  h1.Limits
-	Pipeline int     // requests of a connection that may wait for their answers at once
-	Arrival  float64 // a request must be whole so long after its first byte
-	Idle     float64 // a connection without a request is closed after this
-	Unread   int     // bytes of answers that a client may leave unread
+	Pipeline int                            // requests of a connection that may wait for their answers at once
+	Arrival  float64                        // a request must be whole so long after its first byte
+	Idle     float64                        // a connection without a request is closed after this
+	Unread   int                            // bytes of answers that a client may leave unread
+	MaxAge   func(eventType string) float64 // the longest that an event of a type waits; 0 where the type is unknown
 }
 
 // Taker takes events on behalf of a session.
@@ -145,10 +146,11 @@
 		sl.out = s.problem(429, "pipeline", fmt.Sprintf("over %d requests of this connection wait", s.limits.Pipeline),
 			[]gateway.Field{{Name: "Retry-After", Value: "1"}}, nil, sl.last)
 	default:
-		sl.ask, sl.due = &ask, math.Inf(1)
-		if ask.Wait != 0 {
-			sl.due = now + ask.Wait
+		wait := s.limits.MaxAge(ask.Type)
+		if ask.Wait == 0 || ask.Wait > wait {
+			ask.Wait = wait
 		}
+		sl.ask, sl.due = &ask, now+ask.Wait
 	}
 }
 
@@ -176,12 +178,13 @@
 				if sl.due < ahead {
 					break
 				}
-				if sl.taken = true; sl.ask.Wait != 0 {
-					if sl.ask.Wait = sl.due - now; sl.ask.Wait <= 0 {
-						sl.ask.Wait = -1
-					}
-				}
+				sl.taken = true
 				ask := *sl.ask
+				if left := sl.due - now; ask.Wait != 0 && left <= 0 {
+					ask.Wait = -1
+				} else {
+					ask.Wait = left
+				}
 				sl.ask = &gateway.Ask{Identity: ask.Identity}
 				s.taker.Take(sl.no, ask)
 				progress = true
@@ -325,8 +328,8 @@
 		fields = append(fields, gateway.Field{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(a.Pause)))})
 	case a.Cause == gateway.TimeUp:
 		code = 504
-	case a.Cause == gateway.Unknown:
-		code, detail = 502, fmt.Sprintf("The configuration names no event type %.100q.", a.EventType)
+	case a.Cause == gateway.Unknown: // never taken: the sender's fault
+		code, detail = 422, fmt.Sprintf("The configuration names no event type %.100q.", a.EventType)
 	}
 	return s.problem(code, a.Kind.String(), detail, fields, more, last)
 }
--- a/h1/h1.go
+++ b/h1/h1.go
@@ -7,8 +7,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	nethttp "net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -270,7 +272,7 @@
 	if err != nil {
 		return bad("header: %v", err)
 	}
-	for name := range fields {
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
 		if strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, c) }) {
 			return bad("header: field name %.40q is not a token", name)
 		}
--- a/workers/pool.go
+++ b/workers/pool.go
@@ -198,6 +198,9 @@
 		}
 		return
 	}
+	if c.up {
+		return
+	}
 	if err != nil {
 		j := c.job
 		p.drop(c)
@@ -235,7 +238,12 @@
 // Data takes bytes from a worker.
 func (p *Pool) Data(now float64, no Conn, data []byte) {
 	c := p.conns[no]
-	if c == nil {
+	if c == nil || !c.up {
+		return
+	}
+	if c.job == nil { // bytes that nobody asked for would pass for the next answer
+		p.unlist(c)
+		p.close(c)
 		return
 	}
 	c.in.Feed(data)
@@ -248,11 +256,6 @@
 
 func (p *Pool) answered(now float64, c *conn, m *h1.Message, err error) {
 	j := c.job
-	if j == nil { // bytes that nobody asked for
-		p.unlist(c)
-		p.close(c)
-		return
-	}
 	c.job = nil
 	if err != nil || m.Close || !c.in.Idle() || p.shut[c.wk] {
 		p.close(c)
