--- a/control/control.go
+++ b/control/control.go
@@ -312,6 +312,8 @@
 	case TurnedAway:
 		r.noRoom[wk] = now + noRoomFor
 		r.resize(e, true, false)
+	case Unreachable: // its process is gone, and its copies with it; the list is late
+		p.warm = false
 	case Missed: // it lacks the function but is no worse for it
 		p.warm, e.wk = false, -1
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -406,3 +406,23 @@
 }
 
 func first(wk, _ int) int { return wk }
+
+// A listed worker whose process is gone holds none of its copies: the function is loaded elsewhere at once, not
+// asked for at the dead address until the tries are used up.
+func TestUnreachableWorkerHoldsNothing(t *testing.T) {
+	w := newWorld(3, plain(), 3)
+	f := w.fes[0]
+	drive(w, 1, 0.05, 2)
+	for _, m := range w.wks {
+		if m.holds["f0"] {
+			m.mood = 4
+		}
+	}
+	got := f.take("late", "f0", w.dep.EventTypes[0], 3)
+	for range 200 {
+		w.step(0.01)
+	}
+	if w.bad != "" || !got.handled || len(got.launches) > 2 {
+		t.Fatalf("%s: handled %v after %d launches", w.bad, got.handled, len(got.launches))
+	}
+}
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -102,10 +103,11 @@
 	timer    *time.Timer
 	armed    float64
 	udp      *net.UDPConn
-	anchor   *net.UDPConn
 	peers    []netip.AddrPort
 	cluster  uint32
 	watch    *watcher
+	stop     sync.Once
+	stopped  error
 }
 
 // Start opens the sockets of a front end and returns once it serves.
@@ -129,9 +131,6 @@
 		}
 		s.peers = append(s.peers, a.AddrPort())
 	}
-	if s.anchor, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
-		return nil, fmt.Errorf("loopback socket: %w", err)
-	}
 	if len(s.peers) > 0 {
 		if s.udp, err = net.ListenUDP("udp", nil); err != nil {
 			return nil, fmt.Errorf("socket for peers: %w", err)
@@ -181,47 +180,32 @@
 // OnBoot implements gnet.EventHandler.
 func (s *Server) OnBoot(eng gnet.Engine) gnet.Action {
 	s.eng = eng
-	go func() { s.ready <- s.begin() }()
+	go s.knock()
 	return gnet.None
 }
 
-// begin gets hold of the event loop, which gnet hands out with a connection only.
-func (s *Server) begin() error {
-	c, err := net.DialUDP("udp", nil, s.anchor.LocalAddr().(*net.UDPAddr))
-	if err != nil {
-		return err
-	}
-	var got <-chan gnet.RegisteredResult
-	for until := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-		// gnet calls OnBoot before it has its loops.
-		got, err = s.eng.Register(gnet.NewNetConnContext(context.Background(), c))
-		if err == nil || time.Now().After(until) {
-			break
-		}
-	}
-	if err != nil {
-		return err
-	}
-	r := <-got
-	if r.Err != nil {
-		return r.Err
-	}
-	s.loop = r.Conn.EventLoop()
-	done := make(chan struct{})
-	err = s.post(func() {
-		defer close(done)
-		now := Now()
-		s.pool = workers.NewPool(s.set.Pool, (*wire)(s), (*sink)(s))
-		s.core = gateway.New(s.set.Core, (*outside)(s), now)
-		s.timer = time.AfterFunc(time.Hour, func() { s.post(s.tick) })
-		s.arm()
-	})
+// knock makes gnet hand out the event loop, which it does with a connection only: the first one that comes in will
+// do, and this is one if there is no other.
+func (s *Server) knock() {
+	c, err := net.DialTimeout("tcp", s.set.Listen, 5*time.Second)
 	if err != nil {
-		return err
+		s.ready <- err
+		return
 	}
-	<-done
+	defer c.Close()
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	c.Read(make([]byte, 1)) // until it is closed
+}
+
+// begin is called on the event loop with the first connection.
+func (s *Server) begin(loop gnet.EventLoop) {
+	s.loop = loop
+	s.pool = workers.NewPool(s.set.Pool, (*wire)(s), (*sink)(s))
+	s.core = gateway.New(s.set.Core, (*outside)(s), Now())
+	s.timer = time.AfterFunc(time.Hour, func() { s.post(s.tick) })
+	s.arm()
 	go s.sweepLoop()
-	return nil
+	s.ready <- nil
 }
 
 type runnable func()
@@ -357,7 +341,11 @@
 		s.settle()
 		return nil, gnet.None
 	}
-	if s.core == nil || s.draining || len(s.clients) >= s.set.MostConns {
+	if s.core == nil {
+		s.begin(c.EventLoop())
+		return nil, gnet.Close
+	}
+	if s.draining || len(s.clients) >= s.set.MostConns {
 		return nil, gnet.Close
 	}
 	cl := &client{c: c}
@@ -484,6 +472,11 @@
 // Stop takes no more connections and events, waits up to patience for what is open, answers the rest at once and
 // ends the loop.
 func (s *Server) Stop(patience time.Duration) error {
+	s.stop.Do(func() { s.stopped = s.end(patience) })
+	return s.stopped
+}
+
+func (s *Server) end(patience time.Duration) error {
 	if s.watch != nil {
 		s.watch.close()
 	}
@@ -518,7 +511,6 @@
 }
 
 func (s *Server) closeSockets() {
-	s.anchor.Close()
 	if s.udp != nil {
 		s.udp.Close()
 	}
--- a/timers/plan.go
+++ b/timers/plan.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/robfig/cron/v3"
 )
 
 // Firing is one firing of an entry. ID is its identity: the entry and the minute, in UTC, that it was due.
@@ -46,9 +48,9 @@
 
 // Plan knows what is due when. What is due is told once, in the order of due times and then of the crontab.
 //
-// At a clock change in spring an entry whose minute is left out does not fire that day. In autumn an entry with
-// fixed hours fires at the first of the two like minutes only if the hour comes but once in its fields; one that
-// fires every hour or every so many minutes fires in both, as they are different minutes in UTC.
+// At a clock change in spring an entry whose minute is left out does not fire that day. In autumn, where an hour
+// comes twice, an entry whose hour field is * fires in both, as they are different minutes in UTC; one with stated
+// hours fires in the first only.
 type Plan struct {
 	heap byDue
 	now  time.Time
@@ -77,8 +79,31 @@
 	return p
 }
 
+const anyHour = 1 << 63 // the mark by which the library knows a field that is *
+
+// next is the entry's next minute after a time.
+func (e *Entry) next(after time.Time) time.Time {
+	due := e.schedule.Next(after.In(e.Zone))
+	s, ok := e.schedule.(*cron.SpecSchedule)
+	for ok && s.Hour&anyHour == 0 && !due.IsZero() && secondPass(due) {
+		due = e.schedule.Next(due)
+	}
+	return due
+}
+
+// secondPass tells that the clock on the wall showed the same a while before, as it was set back since.
+func secondPass(t time.Time) bool {
+	const face = "2006-01-02 15:04"
+	for _, back := range []time.Duration{30 * time.Minute, time.Hour, 2 * time.Hour} {
+		if t.Add(-back).Format(face) == t.Format(face) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Plan) add(e *Entry, no int, from time.Time) {
-	if due := e.schedule.Next(from.In(e.Zone)); !due.IsZero() { // zero: a day that no year has
+	if due := e.next(from); !due.IsZero() { // zero: a day that no year has
 		heap.Push(&p.heap, &planned{e, due, no})
 	}
 }
@@ -96,7 +121,7 @@
 func (p *Plan) Due(now time.Time) []Firing {
 	if now.Before(p.now.Add(-backMost)) {
 		for _, e := range p.heap {
-			if due := e.entry.schedule.Next(now.In(e.entry.Zone)); !due.IsZero() {
+			if due := e.entry.next(now); !due.IsZero() {
 				e.due = due
 			}
 		}
@@ -124,7 +149,7 @@
 	var due, missed []Firing
 	// Far back, minute by minute would take long; nothing older than the bound is ever made up for.
 	if oldest := now.Add(-max(e.entry.Within, 2*lateAfter)); e.due.Before(oldest) {
-		e.due = e.entry.schedule.Next(oldest.Add(-time.Second).In(e.entry.Zone))
+		e.due = e.entry.next(oldest.Add(-time.Second))
 	}
 	for !e.due.IsZero() && !e.due.After(now) {
 		f := Firing{Entry: e.entry, Due: e.due, ID: ID(e.entry, e.due), Late: now.Sub(e.due)}
@@ -133,7 +158,7 @@
 		} else {
 			due = append(due, f)
 		}
-		e.due = e.entry.schedule.Next(e.due)
+		e.due = e.entry.next(e.due)
 	}
 	switch {
 	case e.entry.Misfire == Skip || len(missed) == 0:
