--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"streamcleat/control"
@@ -471,3 +472,39 @@
 func (o *bare) Abandon(uint64)       {}
 func (o *bare) Tell([]byte)          {}
 func (o *bare) Ended(Answer)         {}
+
+// A million events in the time of two hours leave nothing behind but what is remembered.
+func TestHeapStaysFlat(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Remember = 10 })
+	o := &bare{}
+	r.c = New(r.c.set, o, start)
+	r.c.Workers(start, true, []control.Worker{{ID: "wk-a", Size: 1}, {ID: "wk-b", Size: 1}})
+	now, heap := start, [2]uint64{}
+	for i := range 1_000_000 {
+		now += 0.007
+		r.c.Tick(now)
+		r.c.Take(now, Asker(i+1), Ask{Identity: Identity{"/b", fmt.Sprint(i)}, Type: []string{"again", "keyed", "once"}[i%3],
+			Function: fmt.Sprint("f", i/1000), Body: []byte("some body")})
+		if o.order != 0 {
+			r.c.Loaded(now, o.order, control.Handled, 1)
+			o.order = 0
+		}
+		if o.job != 0 && i%7 > 0 { // one in seven is never answered
+			r.c.Launched(now+0.0001, o.job, Reply{Result: control.Handled, Body: []byte("some answer")})
+		}
+		o.job = 0
+		if at := [2]int{200_000, 999_999}; i == at[0] || i == at[1] {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			heap[i/999_999] = m.HeapAlloc
+		}
+	}
+	t.Logf("heap %d KB after 200,000 events, %d KB after a million", heap[0]>>10, heap[1]>>10)
+	if heap[1] > heap[0]+heap[0]/4+1<<20 {
+		t.Errorf("heap grew from %d to %d bytes", heap[0], heap[1])
+	}
+	if n := r.c.Counts(); n.Open > 1000 || n.Kept > 3000 || n.Armed > 3000 {
+		t.Errorf("%+v", n)
+	}
+}
--- a/workers/workers_test.go
+++ b/workers/workers_test.go
@@ -268,3 +268,35 @@
 		}
 	}
 }
+
+// FuzzAnswer: whatever a worker sends, in whatever pieces, ends the launch at most once and is understood alike.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(okText), 5)
+	f.Add([]byte("HTTP/1.1 404 N\r\nServer-Timing: load-failed\r\nEndpoint-Load-Metrics: TEXT named_metrics.running=1\r\nContent-Length: 0\r\n\r\n"), 30)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		cut = min(max(cut, 0), len(data))
+		var got [2]string
+		for i := range got {
+			w := newPeer(t)
+			w.launch(1, 1)
+			w.p.Dialed(1, 1, nil)
+			if i == 1 {
+				w.p.Data(1, 1, data[:cut])
+				w.p.Data(1, 1, data[cut:])
+			} else {
+				w.p.Data(1, 1, data)
+			}
+			w.p.Closed(2, 1)
+			if len(w.ends[1]) != 1 {
+				t.Fatalf("ended %d times", len(w.ends[1]))
+			}
+			got[i] = fmt.Sprint(w.ends[1])
+			if err := w.p.Check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got[0] != got[1] {
+			t.Fatalf("whole %s, cut up %s", got[0], got[1])
+		}
+	})
+}
