Durable state: notes of launches and answers on an embedded store, restored after a kill

Need: an appliance is restarted while events wait; what may have run must not run again, and a repeat must get the answer that was given.

Change: durable/ keeps launches of keyed and at-most-once events before their first byte leaves, final answers before they leave, timer firings with the box's own open events, and the configuration, on pebble with group commit; time is counted in service and in the machine's own clock, so a changed time of day moves nothing.

--- a/drill/run.go
+++ b/drill/run.go
@@ -241,7 +241,7 @@
 		core.Deployment.FrontEnds, core.Deployment.MayTell = s.FrontEnds, s.FrontEnds > 1
 		name := fmt.Sprintf("front-%d", i)
 		set := netloop.Settings{Name: name, Listen: c.Listen[0], Cluster: "drill", WorkersFile: path, Core: core, Pool: c.Pool(name),
-			Front: c.Front(), MostConns: c.Limits.Connections, Log: d.log, Ended: func(a gateway.Answer) {
+			Front: c.Front(), MostConns: c.Limits.Connections, Log: d.log, Ended: func(a gateway.Answer, _ *gateway.Trace) {
 				if a.Kind != gateway.Handled {
 					d.mu.Lock()
 					d.causes[a.Cause.String()]++
--- /dev/null
+++ b/durable/store.go
@@ -0,0 +1,541 @@
+package durable
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+
+	"streamcleat/gateway"
+)
+
+// Options of a store. Times are seconds.
+type Options struct {
+	FS       vfs.FS       // nil: the real one
+	Clock    func() Stamp // machine's start and time since; Run is not read. nil: the real ones
+	Remember float64      // how long notes of events are kept, in time of service
+	Log      *slog.Logger
+	NoSync   bool // for measurements only: nothing waits for the disk
+}
+
+// Open is an event of the box itself that had no answer when the last process ended.
+type Open struct {
+	Ask gateway.Ask
+	Due time.Time
+}
+
+// Found is what an earlier process left.
+type Found struct {
+	Events   []gateway.Kept
+	Own      []Open
+	Fired    map[string]time.Time // by timer entry: the last minute it fired for
+	Config   []byte               // the last configuration that was in force
+	Fresh    bool                 // there was no store
+	SetAside string               // where a store that can't be trusted was put; "" where there was none
+	Unread   int                  // records in it that could not be read
+	Clean    bool                 // the last process closed the store
+}
+
+// Store is the durable state of one box. Its methods may be called from any goroutine.
+type Store struct {
+	db     *pebble.DB
+	opt    Options
+	began  Stamp
+	base   float64 // seconds of service before this process
+	mu     sync.Mutex
+	failed error
+	queue  []pending
+	wake   chan struct{}
+	done   chan struct{}
+	closed bool
+	Syncs  int // commits that waited for the disk
+	Notes  int // notes in them
+}
+
+type pending struct {
+	ops  []op
+	done func(error)
+	n    int
+}
+
+// ErrInUse tells that another process has the store.
+var ErrInUse = errors.New("another process uses this state folder")
+
+var cleanKey = []byte("m/clean")
+
+// MachineClock reads the real clocks: which start of the machine this is, and the seconds since.
+func MachineClock() Stamp {
+	boot, _ := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	var ts unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return Stamp{} // nothing is known: every span counts as unknown
+	}
+	return Stamp{Boot: string(bytes.TrimSpace(boot)), Up: float64(ts.Sec) + float64(ts.Nsec)/1e9}
+}
+
+// OpenStore opens or makes the store in a folder and reads what an earlier process left. A store that is corrupt is
+// put aside under a name of its own, what could be read of it is taken over, and Found says so.
+func OpenStore(dir string, opt Options) (*Store, *Found, error) {
+	if opt.FS == nil {
+		opt.FS = vfs.Default
+	}
+	if opt.Clock == nil {
+		opt.Clock = MachineClock
+	}
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
+	if err := opt.FS.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("state folder %s: %w", dir, err)
+	}
+	db, err := openDB(dir, opt)
+	if err == nil {
+		found, rerr := read(db, opt)
+		if rerr == nil {
+			s, err := begin(db, opt, found)
+			return s, found, err
+		}
+		db.Close()
+		err = rerr
+		return salvage(dir, opt, found, err)
+	}
+	if locked(err) {
+		return nil, nil, fmt.Errorf("state folder %s: %w", dir, ErrInUse)
+	}
+	if corrupt(err) {
+		return salvage(dir, opt, &Found{Fired: map[string]time.Time{}}, err)
+	}
+	return nil, nil, fmt.Errorf("state folder %s: %w", dir, err)
+}
+
+func corrupt(err error) bool {
+	return pebble.IsCorruptionError(err) || errors.Is(err, os.ErrNotExist) || errors.Is(err, errForm) ||
+		strings.Contains(err.Error(), "corrupt") || strings.Contains(err.Error(), "checksum") || strings.Contains(err.Error(), "invalid")
+}
+
+func locked(err error) bool {
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EACCES) && strings.Contains(err.Error(), "LOCK") ||
+		strings.Contains(err.Error(), "lock held by current process")
+}
+
+// salvage puts a store aside and makes a new one with what could be read of it.
+func salvage(dir string, opt Options, found *Found, why error) (*Store, *Found, error) {
+	aside := ""
+	for n := 1; ; n++ {
+		aside = fmt.Sprintf("%s.set-aside-%d", strings.TrimRight(dir, "/"), n)
+		if _, err := opt.FS.Stat(aside); errors.Is(err, os.ErrNotExist) {
+			break
+		}
+	}
+	if err := opt.FS.Rename(dir, aside); err != nil {
+		return nil, nil, fmt.Errorf("state folder %s is corrupt (%w) and can't be put aside: %v", dir, why, err)
+	}
+	opt.Log.Error("the state was corrupt: it is set aside, and what could be read of it goes on", "folder", aside,
+		"events", len(found.Events), "unread", found.Unread, "error", why)
+	if err := opt.FS.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, err
+	}
+	db, err := openDB(dir, opt)
+	if err != nil {
+		return nil, nil, fmt.Errorf("state folder %s: %w", dir, err)
+	}
+	found.SetAside, found.Fresh, found.Clean = aside, false, false
+	s, err := begin(db, opt, found)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := s.refill(found); err != nil {
+		s.Close()
+		return nil, nil, fmt.Errorf("state folder %s: taking over what was read: %w", dir, err)
+	}
+	return s, found, nil
+}
+
+// refill writes what was taken over from a store that was set aside.
+func (s *Store) refill(found *Found) error {
+	now := s.now()
+	b := s.db.NewBatch()
+	add := func(ops []op, err error) error {
+		for _, o := range ops {
+			if err == nil {
+				err = b.Set(o.key, o.value, nil)
+			}
+		}
+		return err
+	}
+	for _, k := range found.Events {
+		n := k.Note
+		if !k.Reliable { // an unknown span: as long ago as can be
+			n.RanAgo = math.Inf(1)
+		} else {
+			n.RanAgo = k.RanAgo
+		}
+		at := now
+		at.Run -= k.Age
+		if err := add(noted(n, at)); err != nil {
+			return err
+		}
+	}
+	for key, due := range found.Fired {
+		if err := add(fired(key, due, nil)); err != nil {
+			return err
+		}
+	}
+	for i := range found.Own {
+		ops, err := fired("", found.Own[i].Due, &found.Own[i].Ask)
+		if err := add(ops[1:], err); err != nil {
+			return err
+		}
+	}
+	return b.Commit(pebble.Sync)
+}
+
+// quiet keeps the library's word of routine out of the log. Its fatal errors must not end the process: the box goes
+// on with what needs no state.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Infof(string, ...any)              {}
+func (q quiet) Errorf(format string, args ...any) { q.log.Error(fmt.Sprintf(format, args...)) }
+func (q quiet) Fatalf(format string, args ...any) {
+	q.log.Error(fmt.Sprintf(format, args...))
+	panic(fmt.Errorf(format, args...))
+}
+
+// caught turns a panic of the library over a failed disk into an error. One in a background goroutine of its own,
+// at the sync of the folder, can't be caught: it ends the process, and the restart reads back what was kept.
+func caught(err *error) {
+	switch p := recover().(type) {
+	case nil:
+	case runtime.Error:
+		panic(p)
+	case error:
+		*err = p
+	default:
+		panic(p)
+	}
+}
+
+func openDB(dir string, opt Options) (db *pebble.DB, err error) {
+	defer caught(&err)
+	return pebble.Open(dir, &pebble.Options{FS: opt.FS, Logger: quiet{opt.Log}, MemTableSize: 4 << 20,
+		MemTableStopWritesThreshold: 4, FormatMajorVersion: pebble.FormatNewest,
+		EventListener: &pebble.EventListener{DataCorruption: func(info pebble.DataCorruptionInfo) { // else it is fatal
+			opt.Log.Error("the state is corrupt", "file", info.Path, "error", info.Details)
+		}}})
+}
+
+var errForm = errors.New("the store has another form")
+
+// read takes everything out of a store. At an error Found holds what was read until then.
+func read(db *pebble.DB, opt Options) (*Found, error) {
+	found := &Found{Fired: map[string]time.Time{}, Fresh: true}
+	get := func(key []byte) ([]byte, error) {
+		v, closer, err := db.Get(key)
+		if errors.Is(err, pebble.ErrNotFound) {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		defer closer.Close()
+		return bytes.Clone(v), nil
+	}
+	v, err := get(formKey)
+	if err != nil {
+		return found, err
+	}
+	if found.Fresh = v == nil; v != nil && string(v) != form {
+		return found, fmt.Errorf("%w: %q", errForm, v)
+	}
+	clean, err := get(cleanKey)
+	if err != nil {
+		return found, err
+	}
+	found.Clean = clean != nil
+	if found.Config, err = get(configKey); err != nil {
+		return found, err
+	}
+	now := opt.Clock()
+	if run, err := get(runKey); err != nil {
+		return found, err
+	} else if len(run) == 8 {
+		now.Run = math.Float64frombits(binary.BigEndian.Uint64(run))
+	}
+	err = each(db, timerPrefix, func(k, v []byte) {
+		if len(v) == 8 {
+			found.Fired[string(k)] = time.Unix(int64(binary.BigEndian.Uint64(v)), 0)
+		} else {
+			found.Unread++
+		}
+	})
+	if err != nil {
+		return found, err
+	}
+	err = each(db, ownPrefix, func(_, v []byte) {
+		var o own
+		if cbor.Unmarshal(v, &o) != nil || o.Ask.ID == "" {
+			found.Unread++
+			return
+		}
+		found.Own = append(found.Own, Open{o.Ask, time.Unix(o.Due, 0)})
+	})
+	if err != nil {
+		return found, err
+	}
+	err = each(db, eventPrefix, func(_, v []byte) {
+		k, err := restored(v, now)
+		if err != nil {
+			found.Unread++
+		} else if k.Age < opt.Remember {
+			found.Events = append(found.Events, k)
+		}
+	})
+	return found, err
+}
+
+// each goes through all keys of a kind, in order, and hands them out without the prefix.
+func each(db *pebble.DB, prefix []byte, f func(key, value []byte)) error {
+	upper := bytes.Clone(prefix)
+	upper[len(upper)-1]++
+	it, err := db.NewIter(&pebble.IterOptions{LowerBound: prefix, UpperBound: upper})
+	if err != nil {
+		return err
+	}
+	for ok := it.First(); ok; ok = it.Next() {
+		v, err := it.ValueAndErr()
+		if err != nil {
+			return errors.Join(err, it.Close())
+		}
+		f(it.Key()[len(prefix):], v)
+	}
+	return errors.Join(it.Error(), it.Close())
+}
+
+func begin(db *pebble.DB, opt Options, found *Found) (*Store, error) {
+	s := &Store{db: db, opt: opt, began: opt.Clock(), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	if v, closer, err := db.Get(runKey); err == nil {
+		if len(v) == 8 {
+			s.base = math.Float64frombits(binary.BigEndian.Uint64(v))
+		}
+		closer.Close()
+	}
+	go s.committer()
+	err := s.write([]op{{formKey, []byte(form)}, {cleanKey, nil}})
+	if err != nil {
+		s.Close()
+		return nil, fmt.Errorf("state: first write: %w", err)
+	}
+	return s, nil
+}
+
+// now is the present moment, with the time of service.
+func (s *Store) now() Stamp {
+	n := s.opt.Clock()
+	n.Run = s.base
+	if span, ok := s.began.since(n); ok {
+		n.Run += span
+	}
+	return n
+}
+
+func run(v float64) []byte { return binary.BigEndian.AppendUint64(nil, math.Float64bits(v)) }
+
+// Commit implements the loop's keeper: done is called once the notes are on disk, or with the reason why not.
+func (s *Store) Commit(notes []gateway.Note, done func(error)) {
+	now := s.now()
+	p := pending{done: done, n: len(notes)}
+	for _, n := range notes {
+		ops, err := noted(n, now)
+		if err != nil {
+			done(err)
+			return
+		}
+		p.ops = append(p.ops, ops...)
+	}
+	s.enqueue(p)
+}
+
+func (s *Store) enqueue(p pending) {
+	s.mu.Lock()
+	err := s.failed
+	if s.closed {
+		err = errors.New("the store is closed")
+	}
+	if err == nil {
+		s.queue = append(s.queue, p)
+	}
+	s.mu.Unlock()
+	if err != nil {
+		p.done(err)
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write commits and waits.
+func (s *Store) write(ops []op) error {
+	ended := make(chan error, 1)
+	s.enqueue(pending{ops: ops, done: func(err error) { ended <- err }})
+	return <-ended
+}
+
+// committer writes one batch after the other; all that came while one was being synced goes into the next.
+func (s *Store) committer() {
+	defer close(s.done)
+	for range s.wake {
+		for {
+			s.mu.Lock()
+			list := s.queue
+			s.queue = nil
+			s.mu.Unlock()
+			if len(list) == 0 {
+				break
+			}
+			err := s.apply(list)
+			if err != nil {
+				s.mu.Lock()
+				if s.failed == nil {
+					s.opt.Log.Error("the state can't be written any more", "error", err)
+				}
+				s.failed = err // what the disk did with a failed sync nobody knows: nothing more is trusted to it
+				s.mu.Unlock()
+			}
+			for _, p := range list {
+				p.done(err)
+			}
+		}
+	}
+}
+
+func (s *Store) apply(list []pending) (err error) {
+	defer caught(&err)
+	b := s.db.NewBatch()
+	for _, p := range list {
+		s.Notes += p.n
+		for _, o := range p.ops {
+			if o.value == nil {
+				err = b.Delete(o.key, nil)
+			} else {
+				err = b.Set(o.key, o.value, nil)
+			}
+			if err != nil {
+				return err
+			}
+		}
+	}
+	if err := b.Set(runKey, run(s.now().Run), nil); err != nil {
+		return err
+	}
+	s.Syncs++
+	if s.opt.NoSync {
+		return b.Commit(pebble.NoSync)
+	}
+	return b.Commit(pebble.Sync)
+}
+
+// Fired notes that a timer entry fires for a minute and, where ask is given, that its event is open. Only then may
+// the event be begun.
+func (s *Store) Fired(entry string, due time.Time, ask *gateway.Ask) error {
+	ops, err := fired(entry, due, ask)
+	if err != nil {
+		return err
+	}
+	return s.write(ops)
+}
+
+// Answered notes that an event of the box has its answer. Nothing waits for it: told twice does no harm.
+func (s *Store) Answered(id gateway.Identity) {
+	s.enqueue(pending{ops: []op{{join(ownPrefix, identity(id)), nil}}, done: func(error) {}})
+}
+
+// Config notes the configuration in force.
+func (s *Store) Config(doc []byte) error { return s.write([]op{{configKey, doc}}) }
+
+// Failed is why nothing can be written any more, nil where it can.
+func (s *Store) Failed() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// Tick notes the time of service, so that a restart counts from here.
+func (s *Store) Tick() error { return s.write(nil) }
+
+// Expire lets go of at most so many records whose remembered time is over and tells how many it looked at; fewer
+// than most means that nothing more is due.
+func (s *Store) Expire(most int) (int, error) {
+	now := s.now()
+	var ops []op
+	n := 0
+	upper := expiry(max(now.Run-s.opt.Remember, 0), nil)
+	it, err := s.db.NewIter(&pebble.IterOptions{LowerBound: expiryPrefix, UpperBound: upper})
+	if err != nil {
+		return 0, err
+	}
+	for ok := it.First(); ok && n < most; ok = it.Next() {
+		n++
+		key := bytes.Clone(it.Key())
+		ops = append(ops, op{key, nil})
+		rest := key[len(expiryPrefix):]
+		if len(rest) < 9 {
+			continue
+		}
+		at, hash := float64(binary.BigEndian.Uint64(rest[:8])), rest[9:]
+		v, closer, err := s.db.Get(join(eventPrefix, hash))
+		if err != nil {
+			continue
+		}
+		if lapsed(v, at, s.opt.Remember, now) {
+			ops = append(ops, op{join(eventPrefix, hash), nil})
+		}
+		closer.Close()
+	}
+	if err := errors.Join(it.Error(), it.Close()); err != nil || len(ops) == 0 {
+		return n, err
+	}
+	return n, s.write(ops)
+}
+
+// Size is the bytes on disk.
+func (s *Store) Size() uint64 { return s.db.Metrics().DiskSpaceUsage() }
+
+// Compact gives back the room of what was let go.
+func (s *Store) Compact() error {
+	return s.db.Compact(context.Background(), expiryPrefix, []byte("y"), false)
+}
+
+// Close ends the store; a clean end is noted.
+func (s *Store) Close() error {
+	err := s.write([]op{{cleanKey, []byte{1}}})
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.closed = true
+	s.mu.Unlock()
+	close(s.wake)
+	<-s.done
+	return errors.Join(err, s.closeDB())
+}
+
+func (s *Store) closeDB() (err error) {
+	defer caught(&err)
+	return s.db.Close()
+}
--- /dev/null
+++ b/durable/store_test.go
@@ -0,0 +1,355 @@
+package durable
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
+
+	"streamcleat/gateway"
+)
+
+// machine is a clock that tests move: up runs on, boot changes at a restart of the machine.
+type machine struct {
+	up   float64
+	boot string
+}
+
+func (m *machine) stamp() Stamp { return Stamp{Boot: m.boot, Up: m.up} }
+
+func note(kind gateway.NoteKind, typ, id string, outcome gateway.Kind, ranAgo float64) gateway.Note {
+	return gateway.Note{Kind: kind, MayRun: true, RanAgo: ranAgo, Answer: gateway.Answer{Identity: gateway.Identity{Source: "/t", ID: id},
+		EventType: typ, FunctionID: "f", Kind: outcome, Body: []byte("body of " + id), Fields: []gateway.Field{{Name: "A", Value: "b"}}}}
+}
+
+func open(t *testing.T, fs vfs.FS, m *machine) (*Store, *Found) {
+	t.Helper()
+	s, found, err := OpenStore("state", Options{FS: fs, Clock: m.stamp, Remember: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, found
+}
+
+func commit(s *Store, notes ...gateway.Note) error {
+	ended := make(chan error, 1)
+	s.Commit(notes, func(err error) { ended <- err })
+	return <-ended
+}
+
+func TestWhatIsKeptComesBack(t *testing.T) {
+	fs, m := vfs.NewCrashableMem(), &machine{up: 50, boot: "a"}
+	s, found := open(t, fs, m)
+	if !found.Fresh || len(found.Events) != 0 {
+		t.Fatalf("%+v", found)
+	}
+	ask := gateway.Ask{Identity: gateway.Identity{Source: "/timers", ID: "m1"}, Type: "once", Function: "f", Body: []byte("x")}
+	due := time.Unix(1_800_000_000, 0)
+	for _, err := range []error{commit(s, note(gateway.NoteLaunched, "once", "1", 0, 0), note(gateway.NoteLaunched, "keyed", "2", 0, 3)),
+		commit(s, note(gateway.NoteEnded, "keyed", "2", gateway.Handled, 4)), s.Fired("entry", due, &ask), s.Config([]byte("{}"))} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.up += 10
+	crashed := fs.CrashClone(vfs.CrashCloneCfg{})
+	s.Close()
+	s, found = open(t, crashed, m)
+	defer s.Close()
+	if found.Fresh || found.Clean || len(found.Events) != 2 || string(found.Config) != "{}" || !found.Fired["entry"].Equal(due) ||
+		len(found.Own) != 1 || found.Own[0].Ask.ID != "m1" || string(found.Own[0].Ask.Body) != "x" {
+		t.Fatalf("%+v", found)
+	}
+	for _, k := range found.Events {
+		want := note(gateway.NoteLaunched, "once", "1", 0, 0)
+		ago := 10.0
+		if k.Answer.EventType == "keyed" {
+			want, ago = note(gateway.NoteEnded, "keyed", "2", gateway.Handled, 4), 14
+		}
+		if k.Kind != want.Kind || k.Answer.Identity != want.Answer.Identity || string(k.Answer.Body) != string(want.Answer.Body) ||
+			!k.Reliable || k.RanAgo != ago || len(k.Answer.Fields) != 1 {
+			t.Errorf("%+v", k)
+		}
+	}
+	s.Answered(ask.Identity)
+	s.Tick()
+	s.Close()
+	m.boot, m.up = "b", 1 // the machine started anew: spans are unknown
+	s, found = open(t, crashed, m)
+	if !found.Clean || len(found.Own) != 0 || len(found.Events) != 2 || found.Events[0].Reliable {
+		t.Fatalf("%+v", found)
+	}
+	s.Close()
+}
+
+// What is remembered lapses in time of service, whatever the time of day does; expiry takes it away in slices.
+func TestExpiryBySlices(t *testing.T) {
+	fs, m := vfs.NewMem(), &machine{boot: "a"}
+	s, _ := open(t, fs, m)
+	for i := range 50 {
+		commit(s, note(gateway.NoteEnded, "once", fmt.Sprint(i), gateway.Handled, 0))
+		m.up++
+	}
+	commit(s, note(gateway.NoteEnded, "once", "0", gateway.Handled, 0)) // the first once more: it is kept longer
+	m.up += 74.5                                                        // 25 of them are a hundred seconds old
+	looked := 0
+	for {
+		n, err := s.Expire(7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if looked += n; n < 7 {
+			break
+		}
+	}
+	s.Tick()
+	s.Close()
+	s, found := open(t, fs, m)
+	if looked != 25 || len(found.Events) != 26 {
+		t.Errorf("looked at %d, %d left", looked, len(found.Events))
+	}
+	m.up += 1000
+	for n := 7; n == 7; {
+		n, _ = s.Expire(7)
+	}
+	s.Tick()
+	s.Close()
+	s, found = open(t, fs, m)
+	left := 0
+	each(s.db, []byte("e/"), func(_, _ []byte) { left++ })
+	each(s.db, []byte("x/"), func(_, _ []byte) { left++ })
+	if left != 0 || len(found.Events) != 0 {
+		t.Errorf("%d keys left", left)
+	}
+	s.Close()
+}
+
+// failing makes the n-th write or sync, and all after it, fail: the process is killed there, or the disk is gone.
+type failing struct {
+	n, at atomic.Int64
+	err   error
+	crash func()
+}
+
+func (f *failing) MaybeError(op errorfs.Op) error {
+	if op.Kind.ReadOrWrite() == errorfs.OpIsRead {
+		return nil
+	}
+	n := f.n.Add(1)
+	if at := f.at.Load(); at == 0 || n < at {
+		return nil
+	} else if n == at && f.crash != nil {
+		f.crash()
+	}
+	return f.err
+}
+func (f *failing) String() string { return "failing" }
+
+// campaign plays one run against a store that is killed at its n-th write, and what a restart finds. Every note that
+// was said to be kept must be there; nothing may be there that was not noted. It returns the writes of the run.
+func campaign(t *testing.T, at int64, unsynced int, seed uint64) int64 {
+	mem := vfs.NewCrashableMem()
+	m := &machine{boot: "a"}
+	f := &failing{} // the killed process writes on, to a disk that nobody reads
+	var after *vfs.MemFS
+	var dead atomic.Bool
+	f.crash = func() {
+		dead.Store(true)
+		after = mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: unsynced, RNG: rand.New(rand.NewPCG(seed, 5))})
+	}
+	f.at.Store(at)
+	kept, noted, minutes := map[string]gateway.NoteKind{}, map[string]bool{}, 0
+	tried := 0
+	s, _, err := OpenStore("state", Options{FS: errorfs.Wrap(mem, f), Clock: m.stamp, Remember: 100})
+	if err == nil {
+		rng := rand.New(rand.NewPCG(seed, 6))
+		for i := range 12 {
+			m.up++
+			id := fmt.Sprint(rng.IntN(8))
+			kind := gateway.NoteKind(rng.IntN(2))
+			if dead.Load() {
+				break
+			}
+			noted[id] = true
+			if commit(s, note(kind, "once", id, gateway.Handled, 0)) == nil && !dead.Load() {
+				kept[id] = kind
+			} else {
+				delete(kept, id) // either of the two notes may be there
+			}
+			tried = i
+			ask := gateway.Ask{Identity: gateway.Identity{Source: "/own", ID: fmt.Sprint(i)}}
+			if s.Fired("entry", time.Unix(int64(i*60), 0), &ask) == nil && !dead.Load() {
+				minutes = i
+			}
+			if i == 6 {
+				s.Expire(5)
+			}
+		}
+		s.Close()
+	}
+	if after == nil {
+		after = mem
+	}
+	m.up += 2
+	s, found, err := OpenStore("state", Options{FS: after, Clock: m.stamp, Remember: 100})
+	if err != nil {
+		t.Fatalf("killed at write %d, %d%% unsynced: %v", at, unsynced, err)
+	}
+	defer s.Close()
+	if found.SetAside != "" {
+		t.Fatalf("killed at write %d, %d%% unsynced: the store counts as corrupt", at, unsynced)
+	}
+	have := map[string]gateway.Kept{}
+	for _, k := range found.Events {
+		have[k.Answer.Identity.ID] = k
+		if !noted[k.Answer.Identity.ID] {
+			t.Fatalf("killed at write %d: event %s comes from nowhere", at, k.Answer.Identity.ID)
+		}
+	}
+	for id, kind := range kept {
+		if k, ok := have[id]; !ok || k.Kind != kind {
+			t.Fatalf("killed at write %d, %d%% unsynced: event %s was kept, found %v %+v", at, unsynced, id, ok, k)
+		}
+	}
+	if last, ok := found.Fired["entry"]; minutes > 0 && (!ok || last.Unix() < int64(minutes*60) || last.Unix() > int64(tried*60)) {
+		t.Fatalf("killed at write %d: minute %d was noted, found %v", at, minutes, last)
+	}
+	if len(found.Own) < minutes { // each noted minute's event is open
+		t.Fatalf("killed at write %d: %d open events for minute %d", at, len(found.Own), minutes)
+	}
+	return f.n.Load()
+}
+
+func TestKilledAtEachWrite(t *testing.T) {
+	writes := campaign(t, 0, 0, 1)
+	if writes < 40 {
+		t.Fatalf("only %d writes", writes)
+	}
+	step := int64(1)
+	if testing.Short() {
+		step = 5
+	}
+	for seed := range uint64(3) {
+		for at := int64(1); at <= writes; at += step {
+			campaign(t, at, []int{0, 50, 100}[seed], seed)
+		}
+	}
+	t.Logf("%d writes, each with 3 seeds", writes)
+}
+
+func TestDiskFullAndFailedSync(t *testing.T) {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EIO} {
+		f := &failing{err: cause}
+		s, _, err := OpenStore("state", Options{FS: errorfs.Wrap(vfs.NewMem(), f), Clock: (&machine{boot: "a"}).stamp, Remember: 100})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := commit(s, note(gateway.NoteLaunched, "once", "1", 0, 0)); err != nil {
+			t.Fatal(err)
+		}
+		f.at.Store(f.n.Load() + 1)
+		for range 2 { // it stays failed: nobody knows what a failed sync left
+			if err := commit(s, note(gateway.NoteLaunched, "once", "2", 0, 0)); err == nil {
+				t.Errorf("%v: a note counts as kept", cause)
+			}
+			f.at.Store(1 << 60)
+		}
+		if s.Failed() == nil {
+			t.Errorf("%v: nothing is known of it", cause)
+		}
+		s.Close()
+	}
+}
+
+func TestTwoProcessesOnOneFolder(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "state")
+	s, _, err := OpenStore(dir, Options{Remember: 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := OpenStore(dir, Options{Remember: 10}); !errors.Is(err, ErrInUse) || !strings.Contains(err.Error(), dir) {
+		t.Error(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if s, _, err = OpenStore(dir, Options{Remember: 10}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+}
+
+// A corrupt store is set aside under a name, never silently replaced by an empty one.
+func TestCorruptStoreIsSetAside(t *testing.T) {
+	for _, harm := range []func(name string, data []byte) []byte{
+		func(name string, data []byte) []byte { // the tables' bytes turn
+			if strings.HasSuffix(name, ".sst") {
+				for i := range data {
+					data[i] ^= 0x5a
+				}
+			}
+			return data
+		},
+		func(name string, data []byte) []byte { // the manifest is cut
+			if strings.HasPrefix(name, "MANIFEST") {
+				return data[:len(data)/2]
+			}
+			return data
+		},
+		func(name string, data []byte) []byte { // the tables are gone
+			if strings.HasSuffix(name, ".sst") {
+				return nil
+			}
+			return data
+		},
+	} {
+		dir := filepath.Join(t.TempDir(), "state")
+		s, _, err := OpenStore(dir, Options{Remember: 100})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 100 {
+			commit(s, note(gateway.NoteEnded, "once", fmt.Sprint(i), gateway.Handled, 0))
+		}
+		s.db.Flush()
+		s.Close()
+		entries, _ := os.ReadDir(dir)
+		for _, e := range entries {
+			path := filepath.Join(dir, e.Name())
+			data, err := os.ReadFile(path)
+			if err != nil {
+				continue
+			}
+			if changed := harm(e.Name(), data); changed == nil {
+				os.Remove(path)
+			} else {
+				os.WriteFile(path, changed, 0o600)
+			}
+		}
+		s, found, err := OpenStore(dir, Options{Remember: 100})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if found.SetAside == "" && len(found.Events) != 100 {
+			t.Errorf("%d of 100 events, and not a word", len(found.Events))
+		}
+		if found.SetAside != "" {
+			if _, err := os.Stat(found.SetAside); err != nil {
+				t.Error(err)
+			}
+		}
+		if err := commit(s, note(gateway.NoteEnded, "once", "new", gateway.Handled, 0)); err != nil {
+			t.Error(err)
+		}
+		s.Close()
+	}
+}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -60,6 +60,8 @@
 	ended    bool // for the decisions; while out is set it stays open here
 	mayRun   bool
 	runAt    float64
+	noted    bool // a note says that it may have run
+	steps    []Step
 	last     control.Result // how its newest launch ended
 	warmth   control.Warmth
 	lastWk   control.WorkerID
@@ -129,6 +131,7 @@
 	weight  int
 	stopped bool
 	count   Counts
+	traces  traces
 }
 
 // Counts are totals since the start.
@@ -268,7 +271,8 @@
 	}
 	c.tally(a)
 	c.out.Answer(to, a)
-	c.out.Ended(a)
+	c.out.Ended(a, &Trace{Identity: ask.Identity, Type: ask.Type, Function: ask.Function, Tenant: ask.Tenant, Began: c.now,
+		Answer: a})
 }
 
 func (c *Core) begin(e *event) {
@@ -285,6 +289,7 @@
 		}
 	}
 	c.count.Taken++
+	c.step(e, "taken", "", c.belief(e.ask.Function))
 	fn := c.set.Functions(e.ask.Function)
 	c.router.Event(c.now, control.Event{ID: e.id, Type: e.ask.Type, Tenant: control.TenantID(e.ask.Tenant),
 		Function: control.FunctionID(e.ask.Function), Left: max(e.due-c.now, 0), Lanes: fn.Lanes,
@@ -293,6 +298,7 @@
 
 func (c *Core) join(e *event, a asker) {
 	c.count.Joined++
+	c.step(e, "joined", "", "")
 	e.askers = append(e.askers, a)
 	c.asking[a.to] = e
 	if a.due < e.due || e.ended {
@@ -362,6 +368,7 @@
 	e := l.evt
 	delete(c.flying, l.job)
 	e.out, e.last, e.warmth, e.lastWk = nil, r.Result, r.Warmth, l.wk
+	c.step(e, results[r.Result], string(l.wk), warmths[r.Warmth])
 	if r.Result < control.TurnedAway && !e.mayRun {
 		e.mayRun, e.runAt = true, l.sentAt
 	}
@@ -407,6 +414,7 @@
 		return
 	}
 	delete(c.orders, job)
+	c.ordered(string(o.fn), string(o.wk), "load "+results[res], strconv.Itoa(copies)+" copies stand")
 	c.router.Held(c.now, o.wk, o.fn, res, copies, c.now-o.sentAt)
 }
 
@@ -447,7 +455,8 @@
 
 func (c *Core) describe(e *event, kind Kind, why Cause) Answer {
 	return Answer{Kind: kind, Cause: why, Worker: string(e.lastWk), Warmth: e.warmth, Launches: e.launches,
-		Identity: e.ask.Identity, After: c.now - e.began, EventType: e.ask.Type, FunctionID: e.ask.Function}
+		Identity: e.ask.Identity, After: c.now - e.began, EventType: e.ask.Type, FunctionID: e.ask.Function,
+		Tenant: e.ask.Tenant}
 }
 
 func (c *Core) why(e *event) Cause {
@@ -464,8 +473,10 @@
 		return WorkerBroke
 	case control.TurnedAway:
 		return WorkerFull
-	case control.Unreachable, control.NeverSent:
+	case control.Unreachable:
 		return WorkerGone
+	case control.NeverSent:
+		return NotKept
 	case control.Missed:
 		return LoadFailed
 	}
@@ -478,15 +489,30 @@
 	for _, w := range e.askers {
 		delete(c.asking, w.to)
 	}
+	// A launch that may have run must not be forgotten, nor an answer given that a restart would take back. What
+	// may run again is noted too, but nothing waits for that.
+	if e.noted || a.Kind == Handled {
+		a.Firm = e.noted
+		n := Note{Kind: NoteEnded, Answer: a, MayRun: e.mayRun}
+		if e.mayRun {
+			n.RanAgo = c.now - e.runAt
+		}
+		c.out.Keep(n)
+	}
 	c.keep(e, a)
 	c.tally(a)
+	c.step(e, a.Kind.String(), "", a.Cause.String())
 	for i, w := range e.askers {
 		a.Repeat = i > 0
 		c.out.Answer(w.to, a)
 	}
 	a.Repeat = false
+	t := c.trace(e)
+	t.Open, t.Answer = false, a
+	t.Answer.Body, t.Answer.Fields = nil, nil
 	e.askers = nil
-	c.out.Ended(a)
+	c.traces.add(t)
+	c.out.Ended(a, t)
 }
 
 func (c *Core) unlink(e *event) {
@@ -513,7 +539,11 @@
 		old.gone = true
 		c.bare(old)
 	}
-	k := &kept{id: e.ask.Identity, answer: a, until: c.now + c.set.Remember, mayRun: e.mayRun, runAt: e.runAt}
+	c.remember(&kept{id: e.ask.Identity, answer: a, until: c.now + c.set.Remember, mayRun: e.mayRun, runAt: e.runAt})
+}
+
+func (c *Core) remember(k *kept) {
+	k.answer.Firm = false
 	c.kept[k.id] = k
 	c.age = append(c.age, k)
 	c.bodies = append(c.bodies, k)
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -16,6 +16,7 @@
 	now      float64
 	answers  map[Asker][]Answer
 	launches []Launch
+	notes    []Note
 	orders   []Order
 	left     map[uint64]bool // launches that were abandoned
 	out      map[Identity]uint64
@@ -48,8 +49,9 @@
 		}
 	}
 }
-func (r *rig) Tell([]byte)  {}
-func (r *rig) Ended(Answer) {}
+func (r *rig) Tell([]byte)          {}
+func (r *rig) Keep(n Note)          { r.notes = append(r.notes, n) }
+func (r *rig) Ended(Answer, *Trace) {}
 
 const start = 1000.0
 
@@ -471,7 +473,8 @@
 func (o *bare) Load(l Order)         { o.order = l.Job }
 func (o *bare) Abandon(uint64)       {}
 func (o *bare) Tell([]byte)          {}
-func (o *bare) Ended(Answer)         {}
+func (o *bare) Keep(Note)            {}
+func (o *bare) Ended(Answer, *Trace) {}
 
 // A million events in the time of two hours leave nothing behind but what is remembered.
 func TestHeapStaysFlat(t *testing.T) {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -18,8 +18,19 @@
 	c.flying[l.job] = l
 	c.count.Launches++
 	c.arm(limit, launchDue, l.job, nil)
+	firm := e.kind.Repeat != control.Redeliverable
+	if firm {
+		n := Note{Kind: NoteLaunched, Answer: Answer{Identity: e.ask.Identity, EventType: e.ask.Type,
+			FunctionID: e.ask.Function, Tenant: e.ask.Tenant}, MayRun: true}
+		if e.mayRun {
+			n.RanAgo = c.now - e.runAt
+		}
+		e.noted = true
+		c.out.Keep(n)
+	}
+	c.step(e, "launched", string(wk), c.belief(e.ask.Function))
 	c.out.Launch(Launch{Job: l.job, Worker: wk, Function: e.ask.Function, Attempt: l.number, Limit: limit,
-		Identity: e.ask.Identity, Fields: e.ask.Fields, Body: e.ask.Body})
+		Identity: e.ask.Identity, Fields: e.ask.Fields, Body: e.ask.Body, Firm: firm})
 }
 
 func (h *host) Defer(id control.EventID, pause float64) {
@@ -47,6 +58,7 @@
 	c.orders[c.next] = &order{wk, fn, c.now}
 	c.count.Orders++
 	c.arm(c.set.OrderLimit, orderDue, c.next, nil)
+	c.ordered(string(fn), string(wk), "load ordered", "")
 	c.out.Load(Order{Job: c.next, Worker: wk, Function: string(fn), Copies: copies})
 }
 
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -55,6 +55,8 @@
 	After      float64 // seconds from the event's coming in to its end
 	EventType  string
 	FunctionID string
+	Tenant     string
+	Firm       bool // must not leave before the note of it is kept
 }
 
 // Cause tells why an event ended so.
@@ -73,10 +75,12 @@
 	Stopping           // the front end stops
 	Unknown            // event type that the configuration doesn't name
 	Overflow           // more events are open than the front end may hold
+	Restarted          // it may have run before the front end started anew
+	NotKept            // what must outlive the process can't be written
 )
 
 var causes = [...]string{"answered", "no-room", "time-up", "worker-failed", "worker-broke", "worker-gone",
-	"worker-full", "load-failed", "forgotten", "stopping", "unknown-type", "overflow"}
+	"worker-full", "load-failed", "forgotten", "stopping", "unknown-type", "overflow", "restarted", "not-kept"}
 
 func (c Cause) String() string { return causes[c] }
 
@@ -90,6 +94,53 @@
 	Identity Identity
 	Fields   []Field
 	Body     []byte
+	Firm     bool // must not leave before the note of it is kept
+}
+
+// NoteKind is what a note is about.
+type NoteKind uint8
+
+const (
+	NoteLaunched NoteKind = iota // a launch is about to leave; from now on the event may have run
+	NoteEnded                    // the event has its final answer
+)
+
+// Note is what must outlive the process. It is given before the launch or answer that it is about; where that is
+// Firm, it may leave only once the note is kept.
+type Note struct {
+	Kind   NoteKind
+	Answer Answer  // Identity, EventType and FunctionID are always set; the rest for NoteEnded
+	MayRun bool    // some launch may have run,
+	RanAgo float64 // the first so many seconds ago
+}
+
+// Kept is a note read back after a restart.
+type Kept struct {
+	Note
+	Age      float64 // seconds of service since it was noted: how much of its remembered time is used up
+	Reliable bool    // RanAgo counts from now and can be trusted; else any time may have passed
+}
+
+// Step is one thing that happened to an event, for those who ask why it ended as it did.
+type Step struct {
+	At     float64 `json:"at"` // seconds after the event came in
+	What   string  `json:"what"`
+	Worker string  `json:"worker,omitempty"`
+	Detail string  `json:"detail,omitempty"`
+}
+
+// Trace is the way of one event, open or lately ended.
+type Trace struct {
+	Identity Identity
+	Type     string
+	Function string
+	Tenant   string
+	Began    float64 // on the core's clock
+	Left     float64 // seconds until its client's time is up, if it is open
+	Open     bool
+	Askers   int
+	Answer   Answer // without its body; of no meaning while open
+	Steps    []Step
 }
 
 // Order asks a worker to hold copies of a function.
@@ -116,5 +167,6 @@
 	Load(o Order)
 	Abandon(job uint64) // a launch's time is up: its answer is no longer wanted and it counts as ended
 	Tell(message []byte)
-	Ended(a Answer) // once for each event, for logs and figures
+	Keep(n Note)
+	Ended(a Answer, t *Trace) // once for each event, for logs and figures
 }
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -37,7 +37,17 @@
 	Front       fronthttp.Limits
 	MostConns   int // client connections; past it new ones are closed
 	Log         *slog.Logger
-	Ended       func(gateway.Answer) // called on the loop for each ended event; may be nil
+	Keeper      Keeper                               // keeps what must outlive the process; nil: nothing does
+	KeepWithin  time.Duration                        // an answer waits no longer than this for its note
+	Kept        []gateway.Kept                       // what an earlier process noted
+	Ended       func(gateway.Answer, *gateway.Trace) // called on the loop for each ended event; may be nil
+}
+
+// Keeper keeps notes on disk.
+type Keeper interface {
+	// Commit keeps notes and then calls done once, from any goroutine. A Server has one commit out at a time; what is
+	// noted meanwhile goes into the next.
+	Commit(notes []gateway.Note, done func(error))
 }
 
 const (
@@ -97,6 +107,8 @@
 	slots    map[*client]map[uint64]gateway.Asker
 	asker    gateway.Asker
 	ops      []op
+	keep     keep
+	lost     []gateway.Answer
 	dirty    []*client
 	settling bool
 	draining bool
@@ -174,6 +186,9 @@
 	return l.Addr().String(), nil
 }
 
+// Lost are events of an earlier process that may have run and must not run again; nobody was told how they ended.
+func (s *Server) Lost() []gateway.Answer { return s.lost }
+
 // Addr is where clients connect.
 func (s *Server) Addr() string { return s.set.Listen }
 
@@ -202,6 +217,8 @@
 	s.loop = loop
 	s.pool = workers.NewPool(s.set.Pool, (*wire)(s), (*sink)(s))
 	s.core = gateway.New(s.set.Core, (*outside)(s), Now())
+	s.lost = s.core.Restore(Now(), s.set.Kept)
+	s.set.Kept = nil
 	s.timer = time.AfterFunc(time.Hour, func() { s.post(s.tick) })
 	s.arm()
 	go s.sweepLoop()
@@ -271,6 +288,7 @@
 	s.settling = true
 	for len(s.ops) > 0 || len(s.dirty) > 0 || s.pool.Pending() {
 		s.pool.Flush()
+		s.commit()
 		ops := s.ops
 		s.ops = nil
 		for _, o := range ops {
@@ -284,6 +302,7 @@
 			s.send(cl)
 		}
 	}
+	s.commit()
 	s.settling = false
 	s.arm()
 }
@@ -497,6 +516,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		s.Do(func(c *gateway.Core) { c.Finish(Now()) })
+		s.waitKept()
 		s.Do(func(*gateway.Core) { s.pool.CloseAll(Now()) })
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/netloop/sides.go
+++ b/netloop/sides.go
@@ -43,6 +43,14 @@
 
 func (o *outside) Answer(to gateway.Asker, a gateway.Answer) {
 	s := (*Server)(o)
+	if a.Firm && s.set.Keeper != nil {
+		s.keep.held = append(s.keep.held, held{answer: a, to: to})
+		return
+	}
+	s.answer(to, a)
+}
+
+func (s *Server) answer(to gateway.Asker, a gateway.Answer) {
 	if f := s.inside[to]; f != nil {
 		delete(s.inside, to)
 		f(a)
@@ -58,9 +66,26 @@
 	s.mark(src.cl)
 }
 
-func (o *outside) Launch(l gateway.Launch)  { o.pool.Launch(Now(), l) }
+func (o *outside) Launch(l gateway.Launch) {
+	if l.Firm && o.set.Keeper != nil {
+		o.keep.held = append(o.keep.held, held{launch: &l})
+		return
+	}
+	o.pool.Launch(Now(), l)
+}
+
 func (o *outside) Load(order gateway.Order) { o.pool.Load(Now(), order) }
-func (o *outside) Abandon(job uint64)       { o.pool.Abandon(Now(), job) }
+
+func (o *outside) Abandon(job uint64) {
+	o.keep.abandon(job)
+	o.pool.Abandon(Now(), job)
+}
+
+func (o *outside) Keep(n gateway.Note) {
+	if o.set.Keeper != nil {
+		o.keep.notes = append(o.keep.notes, n)
+	}
+}
 
 // Tell sends a message to every peer. A datagram that can't be sent now is lost, as any may be.
 func (o *outside) Tell(message []byte) {
@@ -74,9 +99,9 @@
 	}
 }
 
-func (o *outside) Ended(a gateway.Answer) {
+func (o *outside) Ended(a gateway.Answer, t *gateway.Trace) {
 	if o.set.Ended != nil {
-		o.set.Ended(a)
+		o.set.Ended(a, t)
 	}
 	if o.log.Enabled(context.Background(), -4) || a.Kind != gateway.Handled {
 		level := o.log.Debug
