The box: serve runs over durable state, with an API on a Unix socket

Need: small sites run one box without operations staff; it must be started, looked at and stopped in order.

Change: appliance.Run carries out the life's table: state folder, recovery of the box's own events, front ends, timers that are on disk before they fire, background slices, ordered stop; a JSON API on a Unix socket shows and orders, one console at a time; telemetry/ tells Prometheus metrics and OpenTelemetry spans. netloop can drain a worker by order and unload a function. timers clients no longer ask with less than 100 ms left of their time.

--- /dev/null
+++ b/appliance/box.go
@@ -0,0 +1,575 @@
+package appliance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"streamcleat/config"
+	"streamcleat/durable"
+	"streamcleat/gateway"
+	"streamcleat/netloop"
+	"streamcleat/telemetry"
+	"streamcleat/timers"
+)
+
+// Box is one running process. It carries out what Life, Chores and the timers' plan decide.
+type Box struct {
+	cfg     *config.Config
+	log     *slog.Logger
+	began   time.Time
+	moves   chan move
+	fronts  []*netloop.Server
+	byAddr  map[string]*netloop.Server
+	addrs   []string
+	store   *durable.Store
+	found   *durable.Found
+	teller  *telemetry.Teller
+	closers []func() error
+	ready   func(addrs []string)
+	hushed  func() error // closes the console's socket
+	err     error
+
+	mu     sync.Mutex
+	life   Life
+	chores *Chores
+	plan   *timers.Plan
+	list   []timers.Entry
+	held   map[string]bool      // timer entries that a console holds
+	fired  map[string]time.Time // by entry: the last minute fired for
+	hold   bool                 // no timer fires
+	ended  tally
+	writer writer
+	until  time.Time // when the drain time is over
+}
+
+type move struct {
+	h      Happening
+	reason string
+}
+
+// tally is what ended lately, for the console.
+type tally struct {
+	now, last second // this second and the one before
+	ring      [60]second
+	at        int
+	latency   *hdrhistogram.Histogram // of handled events since the start, in us
+}
+
+type second struct{ Handled, Deferred, DeadLettered, Late int }
+
+// choresFor are the box's background work. Compaction and expiry keep the state bounded; the tick makes a restart
+// count the time of service.
+func choresFor(stored bool) []Chore {
+	if !stored {
+		return nil
+	}
+	return []Chore{
+		{Name: "tick", Every: 1, Priority: 3, Slice: 0.05, Urgent: true},
+		{Name: "expiry", Every: 5, Priority: 2, Slice: 0.02, Share: 0.05, Patience: 30},
+		{Name: "compaction", Every: 600, Priority: 1, Slice: 1, Share: 0.05, Patience: 1800},
+	}
+}
+
+const expirySlice = 500 // records that one slice looks at
+
+// Run runs a box until it is stopped; ctx ending asks it to stop in order, and hurry makes it stop now. ready is
+// called with the front ends' addresses once it serves; it may be nil.
+func Run(ctx context.Context, cfg *config.Config, log *slog.Logger, hurry <-chan struct{}, ready func([]string)) error {
+	b := &Box{cfg: cfg, log: log, began: time.Now(), moves: make(chan move, 64), byAddr: map[string]*netloop.Server{},
+		held: map[string]bool{}, fired: map[string]time.Time{}, hold: true, ready: ready, found: &durable.Found{Fresh: true}}
+	b.ended.latency = hdrhistogram.New(1, 60_000_000, 2)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-ctx.Done():
+			b.move(AskStop, "signal")
+		case <-stop:
+			return
+		}
+		select {
+		case <-hurry:
+			b.move(AskNow, "second signal")
+		case <-stop:
+		}
+	}()
+	if err := b.listen(); err != nil { // the console sees the start, and a second process stops here
+		return err
+	}
+	go b.background(stop)
+	go b.open()
+	for m := range b.moves {
+		b.mu.Lock()
+		before := b.life.State
+		acts := b.life.On(m.h, m.reason)
+		after := b.life.State
+		b.mu.Unlock()
+		if before != after {
+			log.Info("box", "state", after.String(), "was", before.String(), "on", m.h.String(), "reason", m.reason)
+		}
+		for _, a := range acts {
+			if a == Exit {
+				return b.err
+			}
+			b.act(a)
+		}
+	}
+	return nil
+}
+
+func (b *Box) move(h Happening, reason string) {
+	select {
+	case b.moves <- move{h, reason}:
+	default: // the box is past caring
+	}
+}
+
+// fail notes the first thing that broke.
+func (b *Box) fail(err error) {
+	b.mu.Lock()
+	if b.err == nil {
+		b.err = err
+	}
+	b.mu.Unlock()
+	b.move(Broke, err.Error())
+}
+
+// act carries out one act. What takes long goes on beside and comes back as a happening.
+func (b *Box) act(a Act) {
+	switch a {
+	case Recover:
+		go b.recover()
+	case FireTimers:
+		b.mu.Lock()
+		b.hold = false
+		b.mu.Unlock()
+		go b.fireLoop()
+	case HoldTimers:
+		b.mu.Lock()
+		b.hold = true
+		b.mu.Unlock()
+	case CloseDoors:
+		for _, f := range b.fronts {
+			f.Close()
+		}
+	case StartClock:
+		within := time.Duration(b.cfg.StopWithin * float64(time.Second))
+		b.mu.Lock()
+		b.until = time.Now().Add(within)
+		b.mu.Unlock()
+		time.AfterFunc(within, func() { b.move(TimeUp, "drain time over") })
+		go b.awaitQuiet()
+	case AnswerAll:
+		go func() {
+			var ended sync.WaitGroup
+			for _, f := range b.fronts {
+				ended.Go(func() {
+					if err := f.Stop(0); err != nil {
+						b.log.Error("front end did not stop in order", "error", err)
+					}
+				})
+			}
+			ended.Wait()
+			b.move(Answered, "")
+		}()
+	case WriteState:
+		go func() {
+			for _, c := range b.closers {
+				if err := c(); err != nil {
+					b.log.Error("closing", "error", err)
+				}
+			}
+			if b.store != nil {
+				if err := b.store.Close(); err != nil {
+					b.log.Error("the state was not closed in order", "error", err)
+				}
+			}
+			b.move(Written, "")
+		}()
+	case CloseSocket:
+		b.hush()
+	}
+}
+
+func (b *Box) awaitQuiet() {
+	for {
+		quiet := true
+		for _, f := range b.fronts {
+			n, _, _, err := f.Counts()
+			quiet = quiet && (err != nil || n.Open == 0)
+		}
+		if quiet {
+			b.move(Quiet, "")
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// open opens the state folder.
+func (b *Box) open() {
+	if b.cfg.State != nil {
+		var err error
+		b.store, b.found, err = durable.OpenStore(b.cfg.Path(b.cfg.State.Dir),
+			durable.Options{Remember: b.cfg.Limits.Remember, Log: b.log})
+		if err != nil {
+			b.fail(err)
+			return
+		}
+		b.log.Info("state", "events", len(b.found.Events), "own", len(b.found.Own), "clean", b.found.Clean, "fresh", b.found.Fresh,
+			"set_aside", b.found.SetAside)
+		if err := b.store.Config(b.cfg.Document()); err != nil {
+			b.fail(err)
+			return
+		}
+	}
+	b.mu.Lock()
+	b.chores = NewChores(b.seconds(), choresFor(b.store != nil)...)
+	b.mu.Unlock()
+	b.move(Opened, "")
+}
+
+func (b *Box) seconds() float64 { return time.Since(b.began).Seconds() }
+
+// recover starts the front ends with what was kept, and begins again what the box itself had open.
+func (b *Box) recover() {
+	if err := b.startTelling(); err != nil {
+		b.fail(err)
+		return
+	}
+	if err := b.startFronts(); err != nil {
+		b.fail(err)
+		return
+	}
+	if b.cfg.Timers != nil {
+		if err := b.planTimers(); err != nil {
+			b.fail(err)
+			return
+		}
+	}
+	for _, o := range b.found.Own {
+		b.log.Info("begun again after a restart", "event", o.Ask.Identity.String(), "due", o.Due)
+		b.take(o.Ask)
+	}
+	if b.ready != nil {
+		b.ready(b.addrs)
+	}
+	b.move(Recovered, "")
+}
+
+func (b *Box) startTelling() error {
+	set := telemetry.Settings{Gauges: b.gauges, TargetTime: func(t string) float64 {
+		for _, e := range b.cfg.EventTypes {
+			if e.Name == t {
+				return e.TargetTime
+			}
+		}
+		return 0
+	}}
+	if t := b.cfg.Traces; t != nil {
+		f, err := telemetry.SpanFile(b.cfg.Path(t.File))
+		if err != nil {
+			return err
+		}
+		set.Spans, set.Share = f, t.Share
+		b.closers = append(b.closers, func() error { return errors.Join(b.teller.Close(), f.Close()) })
+	}
+	var err error
+	if b.teller, err = telemetry.New(set); err != nil {
+		return err
+	}
+	if b.cfg.Metrics != nil {
+		server := &http.Server{Addr: b.cfg.Metrics.Listen, Handler: b.teller.Handler(), ReadHeaderTimeout: 5 * time.Second}
+		l, err := listenTCP(server.Addr)
+		if err != nil {
+			return fmt.Errorf("metrics: %w", err)
+		}
+		go server.Serve(l)
+		b.closers = append(b.closers, server.Close)
+	}
+	return nil
+}
+
+func (b *Box) startFronts() error {
+	c := b.cfg
+	if c.Workers.File == "" {
+		b.log.Warn("no list of workers is configured (workers.file): every event will be deferred")
+	}
+	for i, addr := range c.Listen {
+		name := c.Name
+		if len(c.Listen) > 1 {
+			name = fmt.Sprintf("%s-%d", c.Name, i)
+		}
+		set := netloop.Settings{Name: name, Listen: addr, WorkersFile: c.Path(c.Workers.File), Core: c.Core(rand.Uint64()),
+			Pool: c.Pool(name), Front: c.Front(), MostConns: c.Limits.Connections, Log: b.log, Kept: b.found.Events,
+			Ended: b.note, KeepWithin: time.Duration(c.Limits.Margin / 2 * float64(time.Second))}
+		if b.store != nil {
+			set.Keeper = b.store
+		}
+		if p := c.Peers; p != nil {
+			set.PeerListen, set.Cluster, set.Peers = p.Listen[i], p.Cluster, append(set.Peers, p.Others...)
+			for k, other := range p.Listen {
+				if k != i {
+					set.Peers = append(set.Peers, other)
+				}
+			}
+		}
+		f, err := netloop.Start(set)
+		if err != nil {
+			return err
+		}
+		b.mu.Lock()
+		b.fronts, b.addrs = append(b.fronts, f), append(b.addrs, f.Addr())
+		b.byAddr[f.Addr()] = f
+		b.mu.Unlock()
+	}
+	for _, a := range b.fronts[0].Lost() {
+		b.log.Error("dead-lettered at the restart: it may have run and must not run again", "event", a.Identity.String(),
+			"type", a.EventType, "function", a.FunctionID)
+	}
+	return nil
+}
+
+func (b *Box) planTimers() error {
+	path := b.cfg.Path(b.cfg.Timers.Crontab)
+	file, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("crontab: %w", err)
+	}
+	defer file.Close()
+	list, err := timers.Parse(file, path)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.list = list
+	for k, v := range b.found.Fired {
+		b.fired[k] = v
+	}
+	b.plan = timers.Resume(list, b.found.Fired, time.Now())
+	return nil
+}
+
+// take begins an event of the box itself at the front end that a timer client of the same crontab would ask.
+func (b *Box) take(ask gateway.Ask) {
+	front := b.byAddr[timers.Ranked(b.addrs, ask.ID)[0]]
+	err := front.Take(ask, func(a gateway.Answer) {
+		if b.store != nil && a.Cause != gateway.Stopping { // what the stop cuts off goes on at the restart
+			b.store.Answered(ask.Identity)
+		}
+	})
+	if err != nil {
+		b.log.Warn("not begun", "event", ask.Identity.String(), "error", err)
+	}
+}
+
+// fireLoop fires what is due. A firing is on disk before its event begins: a restart neither loses a minute nor
+// fires it twice.
+func (b *Box) fireLoop() {
+	b.mu.Lock()
+	plan := b.plan
+	b.mu.Unlock()
+	if plan == nil {
+		return
+	}
+	for {
+		b.mu.Lock()
+		stopped := b.hold
+		var due []timers.Firing
+		if !stopped {
+			due = plan.Due(time.Now())
+		}
+		var fire []timers.Firing
+		for _, f := range due {
+			if b.held[f.Entry.Key()] {
+				b.log.Info("not fired: the entry is held", "event", f.ID)
+				continue
+			}
+			fire = append(fire, f)
+		}
+		next, any := plan.Next()
+		b.mu.Unlock()
+		if stopped {
+			return
+		}
+		if len(fire) > 0 {
+			if err := b.fire(fire); err != nil {
+				b.log.Error("timers were not noted and do not fire", "firings", len(fire), "error", err)
+			}
+		}
+		pause := time.Second // the clock may be set meanwhile, and the box stopped
+		if any {
+			pause = min(max(time.Until(next), time.Millisecond), pause)
+		}
+		time.Sleep(pause)
+	}
+}
+
+func (b *Box) source() string {
+	if b.cfg.Timers != nil && b.cfg.Timers.Source != "" {
+		return b.cfg.Timers.Source
+	}
+	return "/timers/" + b.cfg.Name
+}
+
+func (b *Box) fire(list []timers.Firing) error {
+	var notes []durable.Firing
+	for _, f := range list {
+		notes = append(notes, durable.Firing{Entry: f.Entry.Key(), Due: f.Due, Ask: ask(b.source(), f)})
+	}
+	if b.store != nil {
+		if err := b.store.FiredAll(notes); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	for _, n := range notes {
+		b.fired[n.Entry] = n.Due
+	}
+	b.mu.Unlock()
+	for _, n := range notes {
+		b.take(n.Ask)
+	}
+	return nil
+}
+
+func ask(source string, f timers.Firing) gateway.Ask {
+	e := f.Entry
+	fields := []gateway.Field{{Name: "ce-specversion", Value: "1.0"}, {Name: "ce-source", Value: source},
+		{Name: "ce-id", Value: f.ID}, {Name: "ce-type", Value: e.Type}, {Name: "ce-time", Value: f.Due.UTC().Format(time.RFC3339)},
+		{Name: "ce-function", Value: e.Function}}
+	if e.Tenant != "" {
+		fields = append(fields, gateway.Field{Name: "ce-tenant", Value: e.Tenant})
+	}
+	if len(e.Data) > 0 {
+		fields = append(fields, gateway.Field{Name: "Content-Type", Value: "application/json"})
+	}
+	return gateway.Ask{Identity: gateway.Identity{Source: source, ID: f.ID}, Type: e.Type, Tenant: e.Tenant,
+		Function: e.Function, Wait: e.Wait.Seconds(), Fields: fields, Body: e.Data}
+}
+
+// note takes each ended event, on its front end's loop.
+func (b *Box) note(a gateway.Answer, t *gateway.Trace) {
+	b.teller.Ended(a, t)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := &b.ended.now
+	switch a.Kind {
+	case gateway.Handled:
+		s.Handled++
+		b.ended.latency.RecordValue(max(int64(a.After*1e6), 1))
+	case gateway.Deferred:
+		s.Deferred++
+	case gateway.DeadLettered:
+		s.DeadLettered++
+	}
+}
+
+// background gives slices to chores and turns the figures of each second over.
+func (b *Box) background(stop chan struct{}) {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	turned := time.Now()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		if time.Since(turned) >= time.Second {
+			turned = turned.Add(time.Second)
+			b.mu.Lock()
+			b.ended.last = b.ended.now
+			b.ended.ring[b.ended.at%len(b.ended.ring)] = b.ended.now
+			b.ended.at++
+			b.ended.now = second{}
+			b.mu.Unlock()
+		}
+		b.slice()
+	}
+}
+
+// busy is the share of its room that the box uses for traffic.
+func (b *Box) busy() float64 {
+	open := 0
+	for _, f := range b.serving() {
+		if n, _, _, err := f.Counts(); err == nil {
+			open += n.Open
+		}
+	}
+	return float64(open) / float64(max(b.cfg.Limits.Open*len(b.cfg.Listen), 1))
+}
+
+func (b *Box) serving() []*netloop.Server {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*netloop.Server(nil), b.fronts...)
+}
+
+func (b *Box) slice() {
+	b.mu.Lock()
+	ready := b.chores != nil && b.life.State >= Recovering && b.life.State < Writing
+	b.mu.Unlock()
+	if !ready {
+		return
+	}
+	busy := b.busy()
+	b.mu.Lock()
+	name, budget := b.chores.Pick(b.seconds(), busy)
+	b.mu.Unlock()
+	if name == "" {
+		return
+	}
+	at := time.Now()
+	more := false
+	var err error
+	switch name {
+	case "tick":
+		err = b.store.Tick()
+	case "expiry":
+		for time.Since(at).Seconds() < budget {
+			n := 0
+			if n, err = b.store.Expire(expirySlice); err != nil || n < expirySlice {
+				break
+			}
+			more = true
+		}
+	case "compaction":
+		err = b.store.Compact()
+	}
+	b.mu.Lock()
+	b.chores.Done(b.seconds(), name, time.Since(at).Seconds(), more, err)
+	b.mu.Unlock()
+}
+
+func (b *Box) gauges() map[string]float64 {
+	g := map[string]float64{}
+	for _, f := range b.serving() {
+		n, clients, backends, err := f.Counts()
+		if err != nil {
+			continue
+		}
+		g["open_events"] += float64(n.Open)
+		g["launches_out"] += float64(n.Out)
+		g["answers_kept"] += float64(n.Kept)
+		g["answers_kept_bytes"] += float64(n.KeptBytes)
+		g["client_connections"] += float64(clients)
+		g["worker_connections"] += float64(backends)
+	}
+	if b.store != nil {
+		g["state_bytes"] = float64(b.store.Size())
+	}
+	return g
+}
+
+func netNow() float64 { return netloop.Now() }
--- a/cmd/streamcleat/serve.go
+++ b/cmd/streamcleat/serve.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"os"
-	"time"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"streamcleat/appliance"
 	"streamcleat/config"
-	"streamcleat/gateway"
-	"streamcleat/netloop"
 	"streamcleat/timers"
 )
 
@@ -49,105 +47,19 @@
 }
 
 func serve(ctx context.Context, c *config.Config) error {
-	log := c.Logger(os.Stderr)
-	if c.Workers.File == "" {
-		log.Warn("no list of workers is configured (workers.file): every event will be deferred")
-	}
-	var fronts []*netloop.Server
-	stop := func() (errs error) {
-		within := time.Duration(c.StopWithin * float64(time.Second))
-		ended := make(chan error, len(fronts))
-		for _, f := range fronts {
-			go func() { ended <- f.Stop(within) }()
-		}
-		for range fronts {
-			errs = errors.Join(errs, <-ended)
-		}
-		return errs
-	}
-	for i, addr := range c.Listen {
-		name := c.Name
-		if len(c.Listen) > 1 {
-			name = fmt.Sprintf("%s-%d", c.Name, i)
-		}
-		set := netloop.Settings{Name: name, Listen: addr, WorkersFile: c.Path(c.Workers.File), Core: c.Core(rand.Uint64()),
-			Pool: c.Pool(name), Front: c.Front(), MostConns: c.Limits.Connections, Log: log}
-		if p := c.Peers; p != nil {
-			set.PeerListen, set.Cluster, set.Peers = p.Listen[i], p.Cluster, append(set.Peers, p.Others...)
-			for k, other := range p.Listen {
-				if k != i {
-					set.Peers = append(set.Peers, other)
-				}
-			}
-		}
-		f, err := netloop.Start(set)
-		if err != nil {
-			return errors.Join(err, stop())
-		}
-		fronts = append(fronts, f)
-		fmt.Printf("front end %s listens on %s\n", name, f.Addr())
-	}
-	if c.Timers != nil {
-		if err := fireInside(ctx, c, fronts); err != nil {
-			return errors.Join(err, stop())
-		}
-	}
-	<-ctx.Done()
-	log.Info("stopping", "within", c.StopWithin)
-	return stop()
-}
-
-// fireInside runs the configuration's own crontab. Its firings go to the front end that timer clients of the same
-// crontab would ask, so that a minute fired by both is one event.
-func fireInside(ctx context.Context, c *config.Config, fronts []*netloop.Server) error {
-	path := c.Path(c.Timers.Crontab)
-	entries, err := readCrontab(path)
-	if err != nil {
-		return err
-	}
-	source := c.Timers.Source
-	if source == "" {
-		source = "/timers/" + c.Name
-	}
-	byAddr := map[string]*netloop.Server{}
-	var addrs []string
-	for _, f := range fronts {
-		byAddr[f.Addr()] = f
-		addrs = append(addrs, f.Addr())
-	}
-	plan := timers.NewPlan(entries, time.Now())
-	go func() {
-		for {
-			for _, f := range plan.Due(time.Now()) {
-				byAddr[timers.Ranked(addrs, f.ID)[0]].Take(ask(source, f), func(gateway.Answer) {})
-			}
-			pause := time.Minute // the clock may be set meanwhile
-			if next, ok := plan.Next(); ok {
-				pause = min(max(time.Until(next), time.Millisecond), pause)
-			}
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(pause):
-			}
-		}
+	hurry := make(chan struct{})
+	go func() { // the first signal ends ctx; a second one shortens the stop
+		<-ctx.Done()
+		again := make(chan os.Signal, 1)
+		signal.Notify(again, os.Interrupt, syscall.SIGTERM)
+		<-again
+		close(hurry)
 	}()
-	return nil
-}
-
-func ask(source string, f timers.Firing) gateway.Ask {
-	e := f.Entry
-	fields := []gateway.Field{{Name: "ce-specversion", Value: "1.0"}, {Name: "ce-source", Value: source},
-		{Name: "ce-id", Value: f.ID}, {Name: "ce-type", Value: e.Type}, {Name: "ce-function", Value: e.Function},
-		{Name: "ce-time", Value: f.Due.UTC().Format(time.RFC3339)}}
-	if e.Tenant != "" {
-		fields = append(fields, gateway.Field{Name: "ce-tenant", Value: e.Tenant})
-	}
-	if len(e.Data) > 0 {
-		fields = append(fields, gateway.Field{Name: "Content-Type", Value: "application/json"})
-	}
-	return gateway.Ask{Identity: gateway.Identity{Source: source, ID: f.ID}, Type: e.Type, Tenant: e.Tenant,
-		Function: e.Function, Wait: e.Wait.Seconds(), Fields: fields, Body: e.Data}
+	return appliance.Run(ctx, c, c.Logger(os.Stderr), hurry, func(addrs []string) {
+		for _, a := range addrs {
+			fmt.Printf("front end listens on %s\n", a)
+		}
+	})
 }
 
 func readCrontab(path string) ([]timers.Entry, error) {
--- a/config/config.go
+++ b/config/config.go
@@ -98,10 +98,28 @@
 		Level string `json:"level"`
 		Form  string `json:"form"`
 	} `json:"log"`
+	State *struct {
+		Dir string `json:"dir"`
+	} `json:"state"`
+	Console *struct {
+		Socket string `json:"socket"`
+		Mode   string `json:"mode"`
+	} `json:"console"`
+	Metrics *struct {
+		Listen string `json:"listen"`
+	} `json:"metrics"`
+	Traces *struct {
+		File  string  `json:"file"`
+		Share float64 `json:"share"`
+	} `json:"traces"`
 	StopWithin float64 `json:"stop_within_s"`
 	dir        string
+	document   []byte
 }
 
+// Document is the text that the configuration was read from.
+func (c *Config) Document() []byte { return c.document }
+
 // EventType is one type of event.
 type EventType struct {
 	Name       string  `json:"name"`
@@ -174,7 +192,7 @@
 		return nil, faults(invalid, doc)
 	}
 	c := defaults()
-	c.dir = dir
+	c.dir, c.document = dir, data
 	if err := json.Unmarshal(data, c); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
--- a/durable/store.go
+++ b/durable/store.go
@@ -459,6 +459,26 @@
 	return s.write(ops)
 }
 
+// Firing is one minute of a timer entry and the event it makes.
+type Firing struct {
+	Entry string
+	Due   time.Time
+	Ask   gateway.Ask
+}
+
+// FiredAll notes many firings with one wait for the disk.
+func (s *Store) FiredAll(list []Firing) error {
+	var all []op
+	for i := range list {
+		ops, err := fired(list[i].Entry, list[i].Due, &list[i].Ask)
+		if err != nil {
+			return err
+		}
+		all = append(all, ops...)
+	}
+	return s.write(all)
+}
+
 // Answered notes that an event of the box has its answer. Nothing waits for it: told twice does no harm.
 func (s *Store) Answered(id gateway.Identity) {
 	s.enqueue(pending{ops: []op{{join(ownPrefix, identity(id)), nil}}, done: func(error) {}})
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
 
+	"streamcleat/control"
 	fronthttp "streamcleat/front/http"
 	"streamcleat/gateway"
 	"streamcleat/workers"
@@ -99,7 +101,10 @@
 	finished chan error
 	core     *gateway.Core
 	pool     *workers.Pool
-	list     *workers.Listed
+	listed   *workers.Listed           // as the file has it
+	list     *workers.Listed           // in force
+	drained  map[control.WorkerID]bool // by order
+	unload   uint64                    // numbers of unload orders, from the top down
 	clients  map[gnet.Conn]*client
 	backends map[workers.Conn]*backend
 	askers   map[gateway.Asker]source
@@ -135,7 +140,7 @@
 	s := &Server{set: set, log: set.Log.With("front_end", set.Name), ready: make(chan error, 1),
 		finished: make(chan error, 1), clients: map[gnet.Conn]*client{}, backends: map[workers.Conn]*backend{},
 		askers: map[gateway.Asker]source{}, inside: map[gateway.Asker]func(gateway.Answer){},
-		slots: map[*client]map[uint64]gateway.Asker{}, cluster: crc32.ChecksumIEEE([]byte(set.Cluster))}
+		slots: map[*client]map[uint64]gateway.Asker{}, drained: map[control.WorkerID]bool{}, cluster: crc32.ChecksumIEEE([]byte(set.Cluster))}
 	for _, p := range set.Peers {
 		a, err := net.ResolveUDPAddr("udp", p)
 		if err != nil {
@@ -462,25 +467,86 @@
 	}
 	s.post(func() {
 		s.steady(list)
-		change := workers.Change(s.list, list)
-		s.list = list
-		s.pool.List(list)
-		if len(change) > 0 {
-			s.core.Workers(Now(), false, change)
-			s.log.Info("list of workers", "workers", len(list.Workers), "changed", len(change))
+		s.listed = list
+		s.relist()
+	})
+}
+
+// relist puts the list in force that the file and the operators' orders make together.
+func (s *Server) relist() {
+	if s.listed == nil {
+		return
+	}
+	list := &workers.Listed{Workers: slices.Clone(s.listed.Workers), Address: s.listed.Address}
+	for i := range list.Workers {
+		if s.drained[list.Workers[i].ID] {
+			list.Workers[i].Phase = control.Draining
+		}
+	}
+	change := workers.Change(s.list, list)
+	s.list = list
+	s.pool.List(list)
+	if len(change) > 0 {
+		s.core.Workers(Now(), false, change)
+		s.log.Info("list of workers", "workers", len(list.Workers), "changed", len(change))
+	}
+	s.settle()
+}
+
+// Drain makes a worker drain, or returns it to what the list says, whatever the list says meanwhile. It tells whether
+// the list names the worker.
+func (s *Server) Drain(id control.WorkerID, drain bool) (known bool, err error) {
+	err = s.Do(func(*gateway.Core) {
+		if s.listed == nil || s.listed.Address[id] == "" {
+			return
+		}
+		known = true
+		if drain {
+			s.drained[id] = true
+		} else {
+			delete(s.drained, id)
+		}
+		s.relist()
+	})
+	return
+}
+
+// Drained are the workers that an order drains.
+func (s *Server) Drained() (list []string) {
+	s.Do(func(*gateway.Core) {
+		for id := range s.drained {
+			list = append(list, string(id))
+		}
+	})
+	slices.Sort(list)
+	return
+}
+
+// Unload asks every worker that is believed to hold a function to let its idle copies go, and tells how many.
+func (s *Server) Unload(fn string) (asked int, err error) {
+	err = s.Do(func(c *gateway.Core) {
+		_, functions := c.Believed()
+		for _, f := range functions {
+			if string(f.ID) == fn {
+				for _, wk := range f.Warm {
+					s.unload--
+					s.pool.Load(Now(), gateway.Order{Job: s.unload, Worker: wk, Function: fn})
+					asked++
+				}
+			}
 		}
-		s.settle()
 	})
+	return
 }
 
 // steady keeps the start times of an earlier reading where they mean the same: the clocks drift apart by parts of
 // a second, and a worker must not seem to have started anew for that.
 func (s *Server) steady(list *workers.Listed) {
-	if s.list == nil {
+	if s.listed == nil {
 		return
 	}
 	for i := range list.Workers {
-		for _, old := range s.list.Workers {
+		for _, old := range s.listed.Workers {
 			if d := old.Born - list.Workers[i].Born; old.ID == list.Workers[i].ID && d > -0.5 && d < 0.5 {
 				list.Workers[i].Born = old.Born
 			}
@@ -495,19 +561,24 @@
 	return s.stopped
 }
 
+// Close takes no more connections and events; what is open goes on. Stop follows.
+func (s *Server) Close() error {
+	return s.Do(func(c *gateway.Core) {
+		s.draining = true
+		c.Stop(Now())
+		for _, cl := range s.clients {
+			cl.session.Drain()
+			s.mark(cl)
+		}
+	})
+}
+
 func (s *Server) end(patience time.Duration) error {
 	if s.watch != nil {
 		s.watch.close()
 	}
 	if s.loop != nil && s.core != nil {
-		s.Do(func(c *gateway.Core) {
-			s.draining = true
-			c.Stop(Now())
-			for _, cl := range s.clients {
-				cl.session.Drain()
-				s.mark(cl)
-			}
-		})
+		s.Close()
 		until := time.Now().Add(patience)
 		for quiet := false; !quiet && time.Now().Before(until); {
 			if s.Do(func(c *gateway.Core) { quiet = c.Quiet() }) != nil || quiet {
--- a/timers/client.go
+++ b/timers/client.go
@@ -46,6 +46,9 @@
 	Ended  func(Outcome) // told of each firing that Run made; may be nil
 }
 
+// leastWait is what must be left of a client's time for another try: no answer could come back in less.
+const leastWait = 100 * time.Millisecond
+
 // Event writes a firing as a CloudEvent.
 func Event(source string, f Firing) cloudevents.Event {
 	e := cloudevents.New()
@@ -115,15 +118,19 @@
 		out.Took = time.Since(begin)
 		final := out.Status != 0 && out.Status != http.StatusServiceUnavailable
 		lost := out.Status == 0 && reached && c.Once[f.Entry.Type] // it may have run
-		if final || lost || out.Tries > c.Repeat || ctx.Err() != nil || out.Took+out.Pause >= wait {
+		if final || lost || out.Tries > c.Repeat || ctx.Err() != nil || out.Took+out.Pause+leastWait > wait {
 			break
 		}
 		if !reached {
 			at++
 		}
+		out.Took = time.Since(begin)
 		select {
 		case <-ctx.Done():
 		case <-time.After(max(out.Pause, 20*time.Millisecond)):
+			if wait-time.Since(begin) < leastWait {
+				return out
+			}
 		}
 	}
 	return out
--- a/timers/plan.go
+++ b/timers/plan.go
@@ -79,6 +79,9 @@
 	return p
 }
 
+// Next is the entry's next minute after a time; zero where it has none.
+func (e *Entry) Next(after time.Time) time.Time { return e.next(after) }
+
 const anyHour = 1 << 63 // the mark by which the library knows a field that is *
 
 // next is the entry's next minute after a time.
--- a/workers/oip.go
+++ b/workers/oip.go
@@ -40,8 +40,12 @@
 	return request("/v2/models/"+url.PathEscape(l.Function)+"/infer", addr, via, fields, l.Body)
 }
 
-// Load writes a load order of the repository extension; the number of copies is a load parameter.
+// Load writes a load order of the repository extension; the number of copies is a load parameter. An order for none
+// lets idle copies go.
 func Load(addr, via string, o gateway.Order) []byte {
+	if o.Copies == 0 {
+		return request("/v2/repository/models/"+url.PathEscape(o.Function)+"/unload", addr, via, nil, nil)
+	}
 	body, _ := json.Marshal(map[string]any{"parameters": map[string]any{"copies": o.Copies}})
 	return request("/v2/repository/models/"+url.PathEscape(o.Function)+"/load", addr, via,
 		[]gateway.Field{{Name: "Content-Type", Value: "application/json"}}, body)
