The terminal console, its sub-commands, and a box driven by terminals alone

Need: a small site's box must be run from a terminal console, and all that the console does by script as well.

Change: console/ is a client of the box's socket, tables, and a terminal interface (overview with sparklines, workers, handlers, events with explain, timers; drain, return, unload, fire, hold, stop); streamcleat has start, console, status, workers, handlers, events, timers, explain, drain, return, unload, fire, hold and stop.

--- a/appliance/api.go
+++ b/appliance/api.go
@@ -32,6 +32,7 @@
 	Name       string             `json:"name"`
 	State      string             `json:"state"`
 	Reason     string             `json:"reason,omitempty"`
+	Process    int                `json:"process"`
 	Uptime     float64            `json:"uptime_s"`
 	DrainLeft  float64            `json:"drain_left_s,omitempty"`
 	FrontEnds  []string           `json:"front_ends"`
@@ -356,7 +357,7 @@
 
 func (b *Box) status() Status {
 	b.mu.Lock()
-	s := Status{Name: b.cfg.Name, State: b.life.State.String(), Reason: b.life.Reason, Uptime: b.seconds(),
+	s := Status{Name: b.cfg.Name, State: b.life.State.String(), Reason: b.life.Reason, Process: os.Getpid(), Uptime: b.seconds(),
 		FrontEnds: slices.Clone(b.addrs), Totals: map[string]uint64{}, Latency: map[string]float64{}, Workers: map[string]int{}}
 	if b.life.State == Draining {
 		s.DrainLeft = max(time.Until(b.until).Seconds(), 0)
--- a/cmd/streamcleat/main.go
+++ b/cmd/streamcleat/main.go
@@ -33,6 +33,7 @@
 	}
 	root.AddCommand(serveCommand(), checkCommand(), schemaCommand(), standinCommand(), drillCommand(), refereeCommand(),
 		benchCommand())
+	root.AddCommand(operateCommands()...)
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "streamcleat:", err)
 		code := 1
--- /dev/null
+++ b/console/tables.go
@@ -0,0 +1,214 @@
+package console
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"streamcleat/appliance"
+)
+
+// bars are the heights of a sparkline.
+var bars = []rune("▁▂▃▄▅▆▇█")
+
+// Spark draws figures as one line of bars, the newest last, as many as fit.
+func Spark(figures []float64, width int) string {
+	if len(figures) > width {
+		figures = figures[len(figures)-width:]
+	}
+	top := 0.0
+	for _, v := range figures {
+		top = math.Max(top, v)
+	}
+	var b strings.Builder
+	for _, v := range figures {
+		at := 0
+		if top > 0 {
+			at = int(math.Round(v / top * float64(len(bars)-1)))
+		}
+		b.WriteRune(bars[at])
+	}
+	return b.String()
+}
+
+func table(rows [][]string) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	w.Flush()
+	return strings.TrimRight(b.String(), "\n")
+}
+
+func span(s float64) string {
+	switch {
+	case s < 0.9995:
+		return fmt.Sprintf("%.0f ms", s*1000)
+	case s < 60:
+		return fmt.Sprintf("%.1f s", s)
+	}
+	return time.Duration(s * float64(time.Second)).Round(time.Second).String()
+}
+
+func size(n uint64) string {
+	switch {
+	case n < 10<<10:
+		return fmt.Sprintf("%d B", n)
+	case n < 10<<20:
+		return fmt.Sprintf("%d KB", n>>10)
+	}
+	return fmt.Sprintf("%d MB", n>>20)
+}
+
+// StatusText shows the box at a glance.
+func StatusText(s appliance.Status, width int) string {
+	state := s.State
+	if s.State == "draining" {
+		state += fmt.Sprintf(" (%.0f s left)", s.DrainLeft)
+	}
+	if s.Reason != "" {
+		state += ", by " + s.Reason
+	}
+	var rate, bad []float64
+	for _, x := range s.Seconds {
+		rate = append(rate, float64(x.Handled+x.Deferred+x.DeadLettered))
+		bad = append(bad, float64(x.Deferred+x.DeadLettered))
+	}
+	last := func(f []float64) string {
+		if len(f) == 0 {
+			return "0"
+		}
+		return fmt.Sprintf("%.0f", f[len(f)-1])
+	}
+	var workers []string
+	for _, k := range sorted(s.Workers) {
+		workers = append(workers, fmt.Sprintf("%d %s", s.Workers[k], k))
+	}
+	if len(workers) == 0 {
+		workers = []string{"none"}
+	}
+	rows := [][]string{
+		{"state", state},
+		{"up", span(s.Uptime) + ", front ends " + strings.Join(s.FrontEnds, ", ")},
+		{"events", fmt.Sprintf("%d open, %d out at workers, %d clients", s.Open, s.Out, s.Clients)},
+		{"ended", fmt.Sprintf("%d handled, %d deferred, %d dead-lettered; %d joined or repeated", s.Totals["handled"], s.Totals["deferred"],
+			s.Totals["dead_lettered"], s.Totals["joined"]+s.Totals["from_kept"])},
+		{"latency", fmt.Sprintf("p50 %.0f ms, p90 %.0f ms, p99 %.0f ms", s.Latency["p50"], s.Latency["p90"], s.Latency["p99"])},
+		{"a second", fmt.Sprintf("%4s %s", last(rate), Spark(rate, max(width-20, 10)))},
+		{"not handled", fmt.Sprintf("%4s %s", last(bad), Spark(bad, max(width-20, 10)))},
+		{"workers", strings.Join(workers, ", ")},
+		{"handlers", fmt.Sprint(s.Handlers)},
+	}
+	if st := s.Store; st != nil {
+		text := fmt.Sprintf("%s, %d notes in %d writes, %d read back", size(st.Bytes), st.Notes, st.Syncs, st.Restored)
+		if st.Failed != "" {
+			text = "FAILED: " + st.Failed
+		}
+		if st.SetAside != "" {
+			text += "; an older one is set aside in " + st.SetAside
+		}
+		rows = append(rows, []string{"state on disk", text})
+	}
+	if s.Writer != "" {
+		rows = append(rows, []string{"orders", fmt.Sprintf("given by console %s, %s ago", s.Writer, span(s.WriterIdle))})
+	}
+	for _, c := range s.Chores {
+		text := fmt.Sprintf("%d rounds, %s used, next in %s", c.Rounds, span(c.Used), span(math.Max(c.Due, 0)))
+		if c.LastErr != "" {
+			text = fmt.Sprintf("failed %d times: %s", c.Failures, c.LastErr)
+		}
+		rows = append(rows, []string{c.Name, text})
+	}
+	return table(rows)
+}
+
+func sorted(m map[string]int) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// WorkerRows, HandlerRows, EventRows and TimerRows are the tables, the heading first.
+func WorkerRows(list []appliance.Worker) [][]string {
+	rows := [][]string{{"WORKER", "STATE", "OUT", "ROOM", "LOAD", "WARM", "COPIES", "LOADING", "KIND"}}
+	for _, w := range list {
+		state := w.State
+		if w.Ordered {
+			state += " (by order)"
+		}
+		rows = append(rows, []string{w.Name, state, fmt.Sprint(w.Out), fmt.Sprintf("%.0f", w.Room), fmt.Sprintf("%.1f", w.Load),
+			fmt.Sprintf("%.0f%%", w.Warmth*100), fmt.Sprint(w.Copies), fmt.Sprint(w.Loading), w.Kind})
+	}
+	return rows
+}
+
+func HandlerRows(list []appliance.Handler) [][]string {
+	rows := [][]string{{"HANDLER", "OUT", "WAITING", "RATE", "MEDIAN", "LANES", "LOADED ON"}}
+	for _, h := range list {
+		on := strings.Join(h.Warm, " ")
+		if len(h.Loading) > 0 {
+			on += " (loading on " + strings.Join(h.Loading, " ") + ")"
+		}
+		rows = append(rows, []string{h.Name, fmt.Sprint(h.Out), fmt.Sprint(h.Waiting), fmt.Sprintf("%.1f/s", h.Rate),
+			fmt.Sprintf("%.0f ms", h.Median), fmt.Sprint(h.Lanes), on})
+	}
+	return rows
+}
+
+func EventRows(list []appliance.Event) [][]string {
+	rows := [][]string{{"AGO", "OUTCOME", "CAUSE", "TOOK", "TRIES", "FUNCTION", "WORKER", "EVENT"}}
+	for _, e := range list {
+		r := []string{span(e.Ago), e.Outcome, e.Cause, span(e.Took), fmt.Sprint(e.Launches), e.Function, e.Worker, e.ID}
+		if e.Open {
+			r[1], r[2], r[3] = "open", "", span(math.Max(e.Left, 0))+" left"
+		}
+		rows = append(rows, r)
+	}
+	return rows
+}
+
+func TimerRows(list []appliance.Timer, now time.Time) [][]string {
+	rows := [][]string{{"NEXT", "LAST", "HELD", "ZONE", "ENTRY"}}
+	at := func(t *time.Time) string {
+		if t == nil {
+			return "-"
+		}
+		return t.Local().Format("01-02 15:04")
+	}
+	for _, t := range list {
+		held := ""
+		if t.Held {
+			held = "held"
+		}
+		rows = append(rows, []string{at(t.Next), at(t.Last), held, t.Zone, t.Entry})
+	}
+	return rows
+}
+
+// Table lines rows up.
+func Table(rows [][]string) string { return table(rows) }
+
+// EventText shows the way of one event.
+func EventText(e appliance.Event) string {
+	end := fmt.Sprintf("%s (%s) after %s", e.Outcome, e.Cause, span(e.Took))
+	if e.Open {
+		end = fmt.Sprintf("open; its client waits %s more", span(math.Max(e.Left, 0)))
+	}
+	rows := [][]string{{"event", e.Source + "#" + e.ID}, {"type", e.Type + ", function " + e.Function}, {"came in", span(e.Ago) + " ago, at " + e.Front},
+		{"end", end}}
+	if e.Tenant != "" {
+		rows[1][1] += ", tenant " + e.Tenant
+	}
+	steps := [][]string{}
+	for _, s := range e.Steps {
+		steps = append(steps, []string{"  " + span(s.At), s.What, s.Worker, s.Detail})
+	}
+	return table(rows) + "\n\n" + table(steps)
+}
