A crash campaign over the box's writes; deferred timer firings are tried again

Need: a box that is killed at any point must run nothing twice, lose no timer minute and answer every client.

A forgotten last firing is not caught: the kept answers guard against it too.

--- a/appliance/box.go
+++ b/appliance/box.go
@@ -258,7 +258,7 @@
 	}
 	for _, o := range b.found.Own {
 		b.log.Info("begun again after a restart", "event", o.Ask.Identity.String(), "due", o.Due)
-		b.take(o.Ask)
+		b.take(o.Ask, o.Until, 1)
 	}
 	if b.ready != nil {
 		b.ready(b.addrs)
@@ -360,11 +360,26 @@
 	return nil
 }
 
-// take begins an event of the box itself at the front end that a timer client of the same crontab would ask.
-func (b *Box) take(ask gateway.Ask) {
+// take begins an event of the box itself at the front end that a timer client of the same crontab would ask. A
+// deferred one is tried again until its time is over.
+func (b *Box) take(ask gateway.Ask, until time.Time, tries int) {
 	front := b.byAddr[timers.Ranked(b.addrs, ask.ID)[0]]
 	err := front.Take(ask, func(a gateway.Answer) {
-		if b.store != nil && a.Cause != gateway.Stopping { // what the stop cuts off goes on at the restart
+		switch {
+		case a.Cause == gateway.Stopping: // what the stop cuts off goes on at the restart
+			return
+		case a.Kind == gateway.Deferred:
+			pause, again := timers.Again(until, time.Now(), tries, time.Duration(a.Pause*float64(time.Second)))
+			if again {
+				time.AfterFunc(pause, func() { b.take(ask, until, tries+1) })
+				return
+			}
+		}
+		if a.Kind != gateway.Handled {
+			b.log.Error("a timer's event was not handled", "event", ask.Identity.String(), "outcome", a.Kind.String(), "cause",
+				a.Cause.String(), "tries", tries)
+		}
+		if b.store != nil {
 			b.store.Answered(ask.Identity)
 		}
 	})
@@ -425,10 +440,10 @@
 func (b *Box) fire(list []timers.Firing) error {
 	var notes []durable.Firing
 	for _, f := range list {
-		notes = append(notes, durable.Firing{Entry: f.Entry.Key(), Due: f.Due, Ask: ask(b.source(), f)})
+		notes = append(notes, durable.Firing{Entry: f.Entry.Key(), Due: f.Due, Until: f.Until(), Ask: ask(b.source(), f)})
 	}
 	if b.store != nil {
-		if err := b.store.FiredAll(notes); err != nil {
+		if err := b.store.Fired(notes); err != nil {
 			return err
 		}
 	}
@@ -438,7 +453,7 @@
 	}
 	b.mu.Unlock()
 	for _, n := range notes {
-		b.take(n.Ask)
+		b.take(n.Ask, n.Until, 1)
 	}
 	return nil
 }
--- /dev/null
+++ b/appliance/campaign_test.go
@@ -0,0 +1,337 @@
+package appliance
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
+
+	"streamcleat/control"
+	"streamcleat/durable"
+	"streamcleat/gateway"
+	"streamcleat/timers"
+)
+
+var campaignSeeds = flag.Int("campaign", 2, "seeds of the crash campaign, each with every write")
+
+// outsideWorld is what a killed box can't take back: what workers did and what clients heard.
+type outsideWorld struct {
+	ran     map[gateway.Identity]int
+	known   map[gateway.Identity]bool // keyed events that the workers remember
+	types   map[gateway.Identity]string
+	final   map[gateway.Identity]gateway.Kind
+	minutes map[gateway.Identity]bool // timer minutes that came due
+	lost    map[gateway.Identity]bool // reported as dead-lettered
+	twice   string
+	flights []flight  // launches that have left: a worker runs them though the box that sent them is dead
+	reached time.Time // up to here a plan was asked
+}
+
+type flight struct {
+	from *boxLife
+	x    gateway.Launch
+}
+
+// boxLife is one process of the box, down to the order of its writes: the real core, plan and store, on a disk that can
+// be cut off at any write.
+type boxLife struct {
+	w      *outsideWorld
+	dead   *atomic.Bool
+	store  *durable.Store
+	core   *gateway.Core
+	plan   *timers.Plan
+	m      *float64 // the machine's clock
+	askers map[gateway.Asker]gateway.Identity
+	own    map[gateway.Identity]bool
+	next   gateway.Asker
+	notes  []gateway.Note
+	after  []func()
+	asks   map[gateway.Identity]gateway.Ask
+	again  []gateway.Ask // of the box's own, deferred
+	orders []gateway.Order
+}
+
+func (l *boxLife) Answer(to gateway.Asker, a gateway.Answer) {
+	id := l.askers[to]
+	tell := func() {
+		if a.Kind != gateway.Deferred {
+			if was, ok := l.w.final[id]; ok && was == gateway.Handled && a.Kind != gateway.Handled {
+				l.w.twice = fmt.Sprintf("%v: %s after it was handled", id, a.Kind)
+			}
+			l.w.final[id] = a.Kind
+			if l.own[id] {
+				l.store.Answered(id)
+			}
+		} else if l.own[id] { // as the box does, where the time of the firing is not over
+			l.again = append(l.again, l.asks[id])
+		}
+	}
+	if a.Firm {
+		l.after = append(l.after, tell)
+	} else if !l.dead.Load() {
+		tell()
+	}
+}
+func (l *boxLife) Launch(x gateway.Launch) {
+	send := func() { l.w.flights = append(l.w.flights, flight{l, x}) }
+	if x.Firm {
+		l.after = append(l.after, send)
+	} else if !l.dead.Load() {
+		send()
+	}
+}
+func (l *boxLife) Load(o gateway.Order)                 { l.orders = append(l.orders, o) }
+func (l *boxLife) Abandon(uint64)                       {}
+func (l *boxLife) Tell([]byte)                          {}
+func (l *boxLife) Keep(n gateway.Note)                  { l.notes = append(l.notes, n) }
+func (l *boxLife) Ended(gateway.Answer, *gateway.Trace) {}
+func (l *boxLife) now() float64                         { return 1000 + *l.m }
+func wallOf(m float64) time.Time {
+	return time.Unix(1_800_000_000, 0).Add(time.Duration(m * float64(time.Second)))
+}
+
+// settle commits what was noted and lets go what waited for it, as the loop does.
+func (l *boxLife) settle() {
+	for (len(l.notes) > 0 || len(l.orders) > 0) && !l.dead.Load() {
+		notes, after := l.notes, l.after
+		l.notes, l.after = nil, nil
+		if len(notes) > 0 {
+			done := make(chan error, 1)
+			l.store.Commit(notes, func(err error) { done <- err })
+			if err := <-done; err != nil || l.dead.Load() {
+				return
+			}
+			for _, f := range after {
+				f()
+			}
+		}
+		orders := l.orders
+		l.orders = nil
+		for _, o := range orders {
+			l.core.Loaded(l.now(), o.Job, control.Handled, 1)
+		}
+	}
+}
+
+func (l *boxLife) take(ask gateway.Ask) {
+	if l.dead.Load() {
+		return
+	}
+	l.next++
+	l.askers[l.next] = ask.Identity
+	l.asks[ask.Identity] = ask
+	l.core.Take(l.now(), l.next, ask)
+	l.settle()
+}
+
+// work has the workers do what has reached them; a share of the answers waits for the next step.
+func (l *boxLife) work(rng *rand.Rand) {
+	again := l.again
+	l.again = nil
+	for _, a := range again {
+		l.take(a)
+	}
+	flights := l.w.flights
+	l.w.flights = nil
+	for _, f := range flights {
+		x := f.x
+		if rng.IntN(3) == 0 {
+			l.w.flights = append(l.w.flights, f)
+			continue
+		}
+		switch kind := l.w.types[x.Identity]; {
+		case kind == "keyed" && l.w.known[x.Identity]:
+		default:
+			l.w.known[x.Identity] = true
+			if l.w.ran[x.Identity]++; l.w.ran[x.Identity] > 1 && kind != "again" {
+				l.w.twice = fmt.Sprintf("%v (%s) ran twice", x.Identity, kind)
+			}
+		}
+		switch {
+		case f.from != l || l.dead.Load(): // nobody is there to hear of it
+		case rng.IntN(6) == 0:
+			l.core.Launched(l.now(), x.Job, gateway.Reply{Result: control.Broken})
+		default:
+			l.core.Launched(l.now(), x.Job, gateway.Reply{Result: control.Handled, Body: []byte("ok")})
+		}
+		l.settle()
+	}
+}
+
+func begin(t *testing.T, w *outsideWorld, fs vfs.FS, m *float64, dead *atomic.Bool, entries []timers.Entry, from time.Time) *boxLife {
+	l := &boxLife{w: w, dead: dead, m: m, askers: map[gateway.Asker]gateway.Identity{}, own: map[gateway.Identity]bool{},
+		asks: map[gateway.Identity]gateway.Ask{}}
+	store, found, err := durable.OpenStore("state", durable.Options{FS: fs, Remember: 600,
+		Clock: func() durable.Stamp { return durable.Stamp{Boot: "a", Up: *m} }})
+	if err != nil {
+		if dead.Load() {
+			return nil
+		}
+		t.Fatal(err)
+	}
+	l.store = store
+	dep := &control.Deployment{FrontEnds: 1, MissAnswers: true, MayOrder: true, MaxLaunches: 4, MaxPause: 0.5, KeepWarm: 8, RoundGap: 0.004,
+		ColdShare: 0.3, WarmWithin: 10, FallFactor: 2.5, FallWindow: 1.5, EventTypes: []control.EventType{{Name: "again", TargetTime: 2, MaxAge: 4},
+			{Name: "keyed", TargetTime: 2, MaxAge: 4, Repeat: control.Keyed, Remembered: 300},
+			{Name: "once", TargetTime: 2, MaxAge: 4, Repeat: control.AtMostOnce}}}
+	l.core = gateway.New(gateway.Settings{Deployment: dep, Functions: func(string) gateway.Function { return gateway.Function{Lanes: 8} },
+		Margin: 0.05, OrderLimit: 5, MostOpen: 1000, Remember: 600, RememberMost: 1 << 20, Seed: 9}, l, l.now())
+	for _, a := range l.core.Restore(l.now(), found.Events) {
+		w.lost[a.Identity] = true
+	}
+	l.core.Workers(l.now(), true, []control.Worker{{ID: "wk-a", Size: 1}, {ID: "wk-b", Size: 1}})
+	l.plan = timers.Resume(entries, found.Fired, from)
+	for _, o := range found.Own {
+		l.own[o.Ask.Identity] = true
+		l.take(o.Ask)
+	}
+	return l
+}
+
+// step is a minute of the box: what is due fires, clients ask, time passes, the workers work.
+func (l *boxLife) step(rng *rand.Rand, clients []gateway.Ask) {
+	*l.m += 60
+	l.fire()
+	for _, c := range clients {
+		if _, done := l.w.final[c.Identity]; !done {
+			l.w.types[c.Identity] = c.Type
+			l.take(c)
+		}
+	}
+	l.work(rng)
+	if !l.dead.Load() {
+		*l.m += 0.5
+		l.core.Tick(l.now())
+		l.settle()
+	}
+}
+
+// fire fires what is due; it is noted first.
+func (l *boxLife) fire() {
+	if l.w.reached = wallOf(*l.m); l.dead.Load() {
+		return
+	}
+	var fire []durable.Firing
+	for _, f := range l.plan.Due(wallOf(*l.m)) {
+		a := ask("/own", f)
+		l.w.types[a.Identity] = a.Type
+		l.w.minutes[a.Identity] = true
+		l.own[a.Identity] = true
+		fire = append(fire, durable.Firing{Entry: f.Entry.Key(), Due: f.Due, Until: f.Until(), Ask: a})
+	}
+	if len(fire) > 0 && l.store.Fired(fire) == nil && !l.dead.Load() {
+		for _, f := range fire {
+			l.take(f.Ask)
+		}
+	}
+}
+
+// campaign kills the box at one write and starts it again; it returns how many writes the whole run makes.
+func campaign(t *testing.T, at int64, seed uint64) int64 {
+	entries, err := timers.Parse(strings.NewReader("MISFIRE=all\n* * * * * again f\n* * * * * keyed f\n* * * * * once f\n"), "tab")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &outsideWorld{ran: map[gateway.Identity]int{}, known: map[gateway.Identity]bool{}, types: map[gateway.Identity]string{},
+		final: map[gateway.Identity]gateway.Kind{}, minutes: map[gateway.Identity]bool{}, lost: map[gateway.Identity]bool{}}
+	rng := rand.New(rand.NewPCG(seed, 11))
+	mem := vfs.NewCrashableMem()
+	var writes atomic.Int64
+	var dead atomic.Bool
+	var after *vfs.MemFS
+	fs := errorfs.Wrap(mem, errorfs.InjectorFunc(func(op errorfs.Op) error {
+		if op.Kind.ReadOrWrite() == errorfs.OpIsWrite && writes.Add(1) == at {
+			after = mem.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: int(seed%3) * 50, RNG: rand.New(rand.NewPCG(seed, 12))})
+			dead.Store(true)
+		}
+		return nil
+	}))
+	m := 0.0
+	from := wallOf(0)
+	box := begin(t, w, fs, &m, &dead, entries, from)
+	var clients []gateway.Ask
+	for i := range 12 {
+		clients = append(clients, gateway.Ask{Identity: gateway.Identity{Source: "/till", ID: fmt.Sprint(i)}, Function: "f",
+			Type: []string{"again", "keyed", "once"}[i%3]})
+	}
+	revive := func() {
+		if dead.Load() {
+			if box != nil {
+				box.store.Close()
+			}
+			dead.Store(false)
+			box = begin(t, w, after, &m, &dead, entries, from)
+		}
+	}
+	for i := range 9 {
+		revive()
+		box.step(rng, clients[:min(3*(i+1), len(clients))])
+	}
+	home := func() { // everything that is out comes home
+		for range 30 {
+			revive()
+			box.fire()
+			box.work(rng)
+			if *box.m += 0.2; !dead.Load() {
+				box.core.Tick(box.now())
+				box.settle()
+			}
+		}
+	}
+	home()
+	for _, c := range clients {
+		if _, done := w.final[c.Identity]; !done {
+			revive()
+			box.take(c)
+			home()
+		}
+	}
+	revive()
+	where := fmt.Sprintf("killed at write %d, seed %d", at, seed)
+	if w.twice != "" {
+		t.Fatalf("%s: %s", where, w.twice)
+	}
+	for _, c := range clients {
+		if _, done := w.final[c.Identity]; !done {
+			t.Fatalf("%s: %v has no final answer", where, c.Identity)
+		}
+	}
+	// No minute may be missing, also one that came due while the box was down.
+	for minute := from.Truncate(time.Minute).Add(time.Minute); !minute.After(w.reached); minute = minute.Add(time.Minute) {
+		for i := range entries {
+			id := gateway.Identity{Source: "/own", ID: timers.ID(&entries[i], minute)}
+			if _, done := w.final[id]; !w.minutes[id] && w.ran[id] == 0 && !done {
+				t.Fatalf("%s: minute %v never fired", where, id)
+			}
+			if w.ran[id] == 0 && w.final[id] != gateway.DeadLettered {
+				t.Fatalf("%s: minute %v never ran, and nobody was told: final %v", where, id, w.final)
+			}
+		}
+	}
+	box.store.Close()
+	return writes.Load()
+}
+
+// TestCrashCampaign kills the box at each write of its run: no effect twice, every client gets its final answer, no
+// timer minute is lost or run twice. -campaign N makes it longer.
+func TestCrashCampaign(t *testing.T) {
+	total, runs := int64(0), 0
+	for seed := range uint64(*campaignSeeds) {
+		writes := campaign(t, 0, seed)
+		for at := int64(1); at <= writes; at++ {
+			campaign(t, at, seed)
+			runs++
+		}
+		total += writes
+	}
+	t.Logf("%d writes, killed at each: %d runs", total, runs)
+	if total < 100 {
+		t.Errorf("only %d writes: the run does too little", total)
+	}
+}
--- a/drill/bench.go
+++ b/drill/bench.go
@@ -48,29 +48,11 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	var addrs []string
-	for range benchWorkers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		worker := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			io.Copy(io.Discard, r.Body)
-			w.Header().Set("Server-Timing", "warm")
-			io.WriteString(w, `{"model_name":"tally","outputs":[]}`)
-		})}
-		go worker.Serve(l)
-		defer worker.Close()
-		addrs = append(addrs, l.Addr().String())
-	}
-	list := filepath.Join(dir, "workers.json")
-	line, err := json.Marshal([]map[string]any{{"targets": addrs}})
+	addrs, list, end, err := quickWorkers(dir)
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(list, line, 0o644); err != nil {
-		return nil, err
-	}
+	defer end()
 	c, err := config.Parse([]byte(`{"event_types":[{"name":"shop-event","target_time_s":1.5,"max_age_s":4}],
 		"functions":[{"match":"*","lanes":64}]}`), dir)
 	if err != nil {
@@ -95,7 +77,7 @@
 				side *Side
 				url  func(no int) string
 			}{{&row.Direct, direct}, {&row.Front, through}} {
-				s, err := drive(ctx, way.url, n, events, fmt.Sprintf("%d-%d", n, turn))
+				s, err := drive(ctx, way.url, "shop-event", n, events, fmt.Sprintf("%d-%d", n, turn))
 				if err != nil {
 					return nil, err
 				}
@@ -111,9 +93,44 @@
 	return rows, nil
 }
 
+// quickWorkers are workers that answer at once, and the file that lists them.
+func quickWorkers(dir string) (addrs []string, list string, end func(), err error) {
+	var servers []*http.Server
+	end = func() {
+		for _, s := range servers {
+			s.Close()
+		}
+	}
+	for range benchWorkers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			end()
+			return nil, "", nil, err
+		}
+		worker := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			w.Header().Set("Server-Timing", "warm")
+			io.WriteString(w, `{"model_name":"tally","outputs":[]}`)
+		})}
+		go worker.Serve(l)
+		servers = append(servers, worker)
+		addrs = append(addrs, l.Addr().String())
+	}
+	list = filepath.Join(dir, "workers.json")
+	line, err := json.Marshal([]map[string]any{{"targets": addrs}})
+	if err == nil {
+		err = os.WriteFile(list, line, 0o644)
+	}
+	if err != nil {
+		end()
+		return nil, "", nil, err
+	}
+	return addrs, list, end, nil
+}
+
 // drive keeps so many events out at a time. A deferred one is sent again until it is handled; only handled ones
 // count, and their time runs from the first try.
-func drive(ctx context.Context, url func(no int) string, conns, events int, run string) (Side, error) {
+func drive(ctx context.Context, url func(no int) string, kind string, conns, events int, run string) (Side, error) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: conns}}
 	defer client.CloseIdleConnections()
 	hist := hdrhistogram.New(1, 60_000_000, 3)
@@ -131,7 +148,7 @@
 				at := time.Now()
 				status, err := 503, error(nil)
 				for try := 0; status == 503 && err == nil && try < 1000; try++ {
-					status, err = once(ctx, client, url(no), run, no)
+					status, err = once(ctx, client, url(no), kind, run, no)
 				}
 				if err == nil && status != 200 {
 					err = fmt.Errorf("%s: status %d", url(no), status)
@@ -160,13 +177,13 @@
 		P99: float64(hist.ValueAtQuantile(99)) / 1000}, first
 }
 
-func once(ctx context.Context, client *http.Client, url, run string, no int) (int, error) {
+func once(ctx context.Context, client *http.Client, url, kind, run string, no int) (int, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"count":1}`))
 	if err != nil {
 		return 0, err
 	}
 	for _, h := range [][2]string{{"ce-specversion", "1.0"}, {"ce-source", "/bench/" + run}, {"ce-id", fmt.Sprint(no)},
-		{"ce-type", "shop-event"}, {"ce-function", fmt.Sprintf("tally-%d", no%benchFunctions)},
+		{"ce-type", kind}, {"ce-function", fmt.Sprintf("tally-%d", no%benchFunctions)},
 		{"Content-Type", "application/json"}} {
 		req.Header.Set(h[0], h[1])
 	}
--- a/durable/ledger.go
+++ b/durable/ledger.go
@@ -54,8 +54,9 @@
 
 // own is an event whose source is the box itself: it is open until it has its answer, over restarts.
 type own struct {
-	Ask gateway.Ask `cbor:"1,keyasint"`
-	Due int64       `cbor:"2,keyasint"` // Unix seconds of the minute it was due
+	Ask   gateway.Ask `cbor:"1,keyasint"`
+	Due   int64       `cbor:"2,keyasint"` // Unix seconds of the minute it was due
+	Until int64       `cbor:"3,keyasint"` // and of when it is given up
 }
 
 // op is one change of the store; a nil value deletes.
@@ -134,10 +135,10 @@
 	return math.Floor(max(r.At.Run, 0)*1000) <= entry && now.Run-r.At.Run >= remember
 }
 
-func fired(key string, due time.Time, ask *gateway.Ask) ([]op, error) {
+func fired(key string, due, until time.Time, ask *gateway.Ask) ([]op, error) {
 	ops := []op{{join(timerPrefix, []byte(key)), binary.BigEndian.AppendUint64(nil, uint64(due.Unix()))}}
 	if ask != nil {
-		value, err := cbor.Marshal(own{*ask, due.Unix()})
+		value, err := cbor.Marshal(own{*ask, due.Unix(), until.Unix()})
 		if err != nil {
 			return nil, err
 		}
--- a/durable/store.go
+++ b/durable/store.go
@@ -33,8 +33,9 @@
 
 // Open is an event of the box itself that had no answer when the last process ended.
 type Open struct {
-	Ask gateway.Ask
-	Due time.Time
+	Ask   gateway.Ask
+	Due   time.Time
+	Until time.Time // when it is given up
 }
 
 // Found is what an earlier process left.
@@ -190,12 +191,12 @@
 		}
 	}
 	for key, due := range found.Fired {
-		if err := add(fired(key, due, nil)); err != nil {
+		if err := add(fired(key, due, due, nil)); err != nil {
 			return err
 		}
 	}
 	for i := range found.Own {
-		ops, err := fired("", found.Own[i].Due, &found.Own[i].Ask)
+		ops, err := fired("", found.Own[i].Due, found.Own[i].Until, &found.Own[i].Ask)
 		if err := add(ops[1:], err); err != nil {
 			return err
 		}
@@ -290,7 +291,7 @@
 			found.Unread++
 			return
 		}
-		found.Own = append(found.Own, Open{o.Ask, time.Unix(o.Due, 0)})
+		found.Own = append(found.Own, Open{o.Ask, time.Unix(o.Due, 0), time.Unix(o.Until, 0)})
 	})
 	if err != nil {
 		return found, err
@@ -449,28 +450,20 @@
 	return b.Commit(pebble.Sync)
 }
 
-// Fired notes that a timer entry fires for a minute and, where ask is given, that its event is open. Only then may
-// the event be begun.
-func (s *Store) Fired(entry string, due time.Time, ask *gateway.Ask) error {
-	ops, err := fired(entry, due, ask)
-	if err != nil {
-		return err
-	}
-	return s.write(ops)
-}
-
 // Firing is one minute of a timer entry and the event it makes.
 type Firing struct {
 	Entry string
 	Due   time.Time
+	Until time.Time // when its event is given up
 	Ask   gateway.Ask
 }
 
-// FiredAll notes many firings with one wait for the disk.
-func (s *Store) FiredAll(list []Firing) error {
+// Fired notes that timer entries fire and that the events they make are open, with one wait for the disk. Only then
+// may the events be begun.
+func (s *Store) Fired(list []Firing) error {
 	var all []op
 	for i := range list {
-		ops, err := fired(list[i].Entry, list[i].Due, &list[i].Ask)
+		ops, err := fired(list[i].Entry, list[i].Due, list[i].Until, &list[i].Ask)
 		if err != nil {
 			return err
 		}
--- a/durable/store_test.go
+++ b/durable/store_test.go
@@ -55,7 +55,7 @@
 	ask := gateway.Ask{Identity: gateway.Identity{Source: "/timers", ID: "m1"}, Type: "once", Function: "f", Body: []byte("x")}
 	due := time.Unix(1_800_000_000, 0)
 	for _, err := range []error{commit(s, note(gateway.NoteLaunched, "once", "1", 0, 0), note(gateway.NoteLaunched, "keyed", "2", 0, 3)),
-		commit(s, note(gateway.NoteEnded, "keyed", "2", gateway.Handled, 4)), s.Fired("entry", due, &ask), s.Config([]byte("{}"))} {
+		commit(s, note(gateway.NoteEnded, "keyed", "2", gateway.Handled, 4)), s.Fired([]Firing{{"entry", due, due, ask}}), s.Config([]byte("{}"))} {
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -187,7 +187,7 @@
 			}
 			tried = i
 			ask := gateway.Ask{Identity: gateway.Identity{Source: "/own", ID: fmt.Sprint(i)}}
-			if s.Fired("entry", time.Unix(int64(i*60), 0), &ask) == nil && !dead.Load() {
+			if s.Fired([]Firing{{"entry", time.Unix(int64(i*60), 0), time.Unix(0, 0), ask}}) == nil && !dead.Load() {
 				minutes = i
 			}
 			if i == 6 {
--- a/timers/plan.go
+++ b/timers/plan.go
@@ -174,3 +174,23 @@
 	}
 	return append(missed, due...)
 }
+
+const (
+	againFirst = 250 * time.Millisecond // pause before a deferred firing is tried again, doubled each time
+	againMost  = 5 * time.Second        // up to this
+)
+
+// Until is when a firing is given up: a minute after it was due, or the time that its entry makes up for.
+func (f Firing) Until() time.Time {
+	if f.Entry.Misfire == Skip {
+		return f.Due.Add(lateAfter)
+	}
+	return f.Due.Add(max(f.Entry.Within, lateAfter))
+}
+
+// Again is the pause before a deferred firing is tried once more, after so many tries; false where its time is over.
+// A try under way when the time runs out goes on.
+func Again(until, now time.Time, tries int, named time.Duration) (time.Duration, bool) {
+	pause := max(min(againFirst<<min(tries-1, 10), againMost), named)
+	return pause, now.Add(pause).Before(until)
+}
