Restart, last drain, two boxes on one folder, both stops: tested on running boxes

Need: the hard cases of the small site, caused on a box that runs.

Change: tests with a box in the process; what a stop dead-letters of the box's own events is final and reported, not begun again; counts of the store are read without a race.

Measured: go test -race of appliance and durable passes.

--- a/appliance/api.go
+++ b/appliance/api.go
@@ -394,7 +394,7 @@
 	}
 	s.Handlers = len(b.handlers())
 	if store != nil && state > Starting && state < Writing {
-		v := &StoreView{Bytes: store.Size(), Notes: store.Notes, Syncs: store.Syncs, SetAside: b.found.SetAside, Restored: len(b.found.Events)}
+		v := &StoreView{Bytes: store.Size(), Notes: int(store.Notes.Load()), Syncs: int(store.Syncs.Load()), SetAside: b.found.SetAside, Restored: len(b.found.Events)}
 		if err := store.Failed(); err != nil {
 			v.Failed = err.Error()
 		}
--- a/appliance/box.go
+++ b/appliance/box.go
@@ -366,7 +366,7 @@
 	front := b.byAddr[timers.Ranked(b.addrs, ask.ID)[0]]
 	err := front.Take(ask, func(a gateway.Answer) {
 		switch {
-		case a.Cause == gateway.Stopping: // what the stop cuts off goes on at the restart
+		case a.Cause == gateway.Stopping && a.Kind == gateway.Deferred: // it goes on at the restart
 			return
 		case a.Kind == gateway.Deferred:
 			pause, again := timers.Again(until, time.Now(), tries, time.Duration(a.Pause*float64(time.Second)))
--- /dev/null
+++ b/appliance/box_test.go
@@ -0,0 +1,263 @@
+package appliance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"streamcleat/config"
+	"streamcleat/standin"
+	"streamcleat/timers"
+)
+
+// running is a box in this process, with stand-in workers.
+type running struct {
+	t       *testing.T
+	dir     string
+	workers []*standin.Worker
+	addr    string
+	http    http.Client
+	stop    context.CancelFunc
+	hurry   chan struct{}
+	ended   chan error
+	log     *lines
+}
+
+type lines struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+func (l *lines) has(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), s)
+}
+
+func newRunning(t *testing.T, n int, crontab string) *running {
+	r := &running{t: t, dir: t.TempDir()}
+	fns := []standin.Function{{Name: "tally", Memory: 100, Lanes: 4, Fetch: 0.02, Begin: 0.01, Work: 0.03}}
+	for i := range n {
+		w, err := standin.NewWorker(standin.Spec{Name: fmt.Sprintf("wk-%d", i), Cores: 4, Speed: 1, Memory: 1000, Queue: 50, LoadsAtOnce: 4,
+			Keep: 20, Functions: fns, Store: standin.NewStore(8, 32), MeanWork: 0.03, Seed: uint64(i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(w.Close)
+		r.workers = append(r.workers, w)
+	}
+	if _, err := standin.NewList(filepath.Join(r.dir, "workers.json"), nil, r.workers); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(r.dir, "crontab"), []byte(crontab), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (r *running) config() *config.Config {
+	c, err := config.Parse([]byte(`{"listen":["127.0.0.1:0"],"workers":{"file":"workers.json"},"event_types":[
+		{"name":"again","target_time_s":0.5,"max_age_s":1.5},{"name":"once","target_time_s":0.5,"max_age_s":1.5,"repeat":"at-most-once"}],
+		"functions":[{"match":"*","lanes":4,"load_s":0.03}],"timers":{"crontab":"crontab"},"state":{"dir":"state"},
+		"console":{"socket":"s","mode":"0640"},"stop_within_s":1}`), r.dir)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return c
+}
+
+func (r *running) start() {
+	r.t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	ready := make(chan string, 1)
+	r.stop, r.hurry, r.ended, r.log = stop, make(chan struct{}), make(chan error, 1), &lines{}
+	socket := filepath.Join(r.dir, "s")
+	r.http = http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", socket)
+	}}}
+	log := slog.New(slog.NewTextHandler(r.log, nil))
+	go func() { r.ended <- Run(ctx, r.config(), log, r.hurry, func(a []string) { ready <- a[0] }) }()
+	select {
+	case r.addr = <-ready:
+	case err := <-r.ended:
+		r.t.Fatal("the box ended: ", err)
+	}
+	r.t.Cleanup(stop)
+	for r.status().State != "serving" {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (r *running) end() {
+	r.t.Helper()
+	select {
+	case err := <-r.ended:
+		if err != nil {
+			r.t.Fatal(err)
+		}
+	case <-time.After(15 * time.Second):
+		r.t.Fatal("the box does not end")
+	}
+}
+
+func (r *running) status() (s Status) {
+	r.t.Helper()
+	resp, err := r.http.Get("http://box/v1/status")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		r.t.Fatal(err)
+	}
+	return
+}
+
+func (r *running) order(text string) (int, string) {
+	r.t.Helper()
+	resp, err := r.http.Post("http://box/v1/orders", "application/json", strings.NewReader(text))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data)
+}
+
+func (r *running) fire(kind, id string) timers.Outcome {
+	c := &timers.Client{Source: "/t", Fronts: []string{r.addr}, HTTP: &http.Client{Transport: &http.Transport{}}, MaxAge: 1500 * time.Millisecond}
+	return c.Fire(context.Background(), timers.Firing{Entry: &timers.Entry{Type: kind, Function: "tally"}, ID: id})
+}
+
+func (r *running) wait(what string, is func() bool) {
+	r.t.Helper()
+	for range 500 {
+		if is() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.t.Fatalf("not so after 5 s: %s\n%s", what, r.log.b.String())
+}
+
+// The box's own events that wait at a stop go on at the restart; what may have run and must not again is reported.
+func TestRestartWhileTimerEventsWait(t *testing.T) {
+	r := newRunning(t, 1, "MISFIRE=all\n0 0 1 1 * again tally\n0 0 1 1 * once tally\n")
+	r.start()
+	if o := r.fire("again", "warm"); o.Status != 200 {
+		t.Fatal(o)
+	}
+	r.workers[0].Inject(standin.Fault{Kind: "hang"})
+	for _, entry := range []string{"again/tally", "once/tally"} {
+		if status, said := r.order(`{"order":"fire","target":"` + entry + `","console":"a"}`); status != 200 {
+			t.Fatal(said)
+		}
+	}
+	r.wait("both are out", func() bool { return r.status().Out == 2 })
+	if status, said := r.order(`{"order":"stop","now":true,"console":"a"}`); status != 200 {
+		t.Fatal(said)
+	}
+	r.end()
+	if !r.log.has("a timer's event was not handled") || !r.log.has("outcome=dead-lettered") {
+		t.Error("what may have run and must not run again was not reported")
+	}
+	r.workers[0].Inject(standin.Fault{Kind: "hang", For: 1e-9})
+	r.start()
+	r.wait("the redeliverable one is handled", func() bool { return r.status().Totals["handled"] == 1 })
+	if r.log.has("once/tally") {
+		t.Error("what must not run again is begun again")
+	}
+	r.stop()
+	r.end()
+	r.start() // and all that is over: nothing is begun again
+	if r.log.has("begun again") {
+		t.Error("begun a second time")
+	}
+	if o := r.fire("again", "warm"); o.Status != 200 || !o.Replay {
+		t.Errorf("a repeat after two restarts: %+v", o)
+	}
+}
+
+func TestDrainOfTheLastWorkerAndReturn(t *testing.T) {
+	r := newRunning(t, 2, "")
+	r.start()
+	if o := r.fire("again", "1"); o.Status != 200 {
+		t.Fatal(o)
+	}
+	r.order(`{"order":"drain","target":"wk-0","console":"a"}`)
+	if status, said := r.order(`{"order":"drain","target":"wk-1","console":"a"}`); status != 200 || !strings.Contains(said, "the last one") {
+		t.Error(status, said)
+	}
+	if o := r.fire("again", "2"); o.Status != 503 || o.Took > 500*time.Millisecond {
+		t.Errorf("with all workers drained: status %d after %v", o.Status, o.Took)
+	}
+	if status, said := r.order(`{"order":"drain","target":"wk-9","console":"a"}`); status != 404 || !strings.Contains(said, "wk-9") {
+		t.Error(status, said)
+	}
+	if status, said := r.order(`{"order":"return","target":"wk-1","console":"b"}`); status != 409 || !strings.Contains(said, "console a") {
+		t.Error("two consoles give orders: ", status, said)
+	}
+	r.order(`{"order":"return","target":"wk-1","console":"a"}`)
+	if o := r.fire("again", "3"); o.Status != 200 {
+		t.Errorf("after the return: %d", o.Status)
+	}
+	if status, said := r.order(`{"order":"dance","console":"a"}`); status != 409 || !strings.Contains(said, "not an order") {
+		t.Error(status, said)
+	}
+}
+
+func TestTwoBoxesOnOneFolder(t *testing.T) {
+	r := newRunning(t, 1, "")
+	r.start()
+	quiet := slog.New(slog.DiscardHandler)
+	if err := Run(context.Background(), r.config(), quiet, nil, nil); err == nil || !strings.Contains(err.Error(), "another box answers") {
+		t.Error("same console: ", err)
+	}
+	other := r.config()
+	other.Console = nil
+	if err := Run(context.Background(), other, quiet, nil, nil); err == nil || !strings.Contains(err.Error(), "another process uses") {
+		t.Error("same state: ", err)
+	}
+	info, err := os.Stat(filepath.Join(r.dir, "s"))
+	if err != nil || info.Mode().Perm() != 0o640 {
+		t.Error(info.Mode(), err)
+	}
+}
+
+func TestStopWaitsForWhatIsOpenAndASecondSignalDoesNot(t *testing.T) {
+	for _, hurry := range []bool{false, true} {
+		r := newRunning(t, 1, "")
+		r.start()
+		r.fire("again", "warm")
+		r.workers[0].Inject(standin.Fault{Kind: "stall", For: 0.6})
+		out := make(chan timers.Outcome)
+		go func() { out <- r.fire("again", "open") }()
+		r.wait("it is out", func() bool { return r.status().Out == 1 })
+		r.stop()
+		want := 200
+		if hurry {
+			r.wait("draining", func() bool { return r.log.has("state=draining") })
+			close(r.hurry)
+			want = 503
+		}
+		if o := <-out; o.Status != want {
+			t.Errorf("hurry %v: status %d, %v", hurry, o.Status, o.Err)
+		}
+		r.end()
+	}
+}
--- a/appliance/campaign_test.go
+++ b/appliance/campaign_test.go
@@ -33,6 +33,12 @@
 	reached time.Time // up to here a plan was asked
 }
 
+// machineClock is read by the store's own goroutine too.
+type machineClock struct{ ms atomic.Int64 }
+
+func (c *machineClock) now() float64  { return float64(c.ms.Load()) / 1000 }
+func (c *machineClock) add(s float64) { c.ms.Add(int64(s * 1000)) }
+
 type flight struct {
 	from *boxLife
 	x    gateway.Launch
@@ -46,7 +52,7 @@
 	store  *durable.Store
 	core   *gateway.Core
 	plan   *timers.Plan
-	m      *float64 // the machine's clock
+	m      *machineClock // the machine's clock
 	askers map[gateway.Asker]gateway.Identity
 	own    map[gateway.Identity]bool
 	next   gateway.Asker
@@ -91,7 +97,7 @@
 func (l *boxLife) Tell([]byte)                          {}
 func (l *boxLife) Keep(n gateway.Note)                  { l.notes = append(l.notes, n) }
 func (l *boxLife) Ended(gateway.Answer, *gateway.Trace) {}
-func (l *boxLife) now() float64                         { return 1000 + *l.m }
+func (l *boxLife) now() float64                         { return 1000 + l.m.now() }
 func wallOf(m float64) time.Time {
 	return time.Unix(1_800_000_000, 0).Add(time.Duration(m * float64(time.Second)))
 }
@@ -164,11 +170,11 @@
 	}
 }
 
-func begin(t *testing.T, w *outsideWorld, fs vfs.FS, m *float64, dead *atomic.Bool, entries []timers.Entry, from time.Time) *boxLife {
+func begin(t *testing.T, w *outsideWorld, fs vfs.FS, m *machineClock, dead *atomic.Bool, entries []timers.Entry, from time.Time) *boxLife {
 	l := &boxLife{w: w, dead: dead, m: m, askers: map[gateway.Asker]gateway.Identity{}, own: map[gateway.Identity]bool{},
 		asks: map[gateway.Identity]gateway.Ask{}}
 	store, found, err := durable.OpenStore("state", durable.Options{FS: fs, Remember: 600,
-		Clock: func() durable.Stamp { return durable.Stamp{Boot: "a", Up: *m} }})
+		Clock: func() durable.Stamp { return durable.Stamp{Boot: "a", Up: m.now()} }})
 	if err != nil {
 		if dead.Load() {
 			return nil
@@ -196,7 +202,7 @@
 
 // step is a minute of the box: what is due fires, clients ask, time passes, the workers work.
 func (l *boxLife) step(rng *rand.Rand, clients []gateway.Ask) {
-	*l.m += 60
+	l.m.add(60)
 	l.fire()
 	for _, c := range clients {
 		if _, done := l.w.final[c.Identity]; !done {
@@ -206,7 +212,7 @@
 	}
 	l.work(rng)
 	if !l.dead.Load() {
-		*l.m += 0.5
+		l.m.add(0.5)
 		l.core.Tick(l.now())
 		l.settle()
 	}
@@ -214,11 +220,11 @@
 
 // fire fires what is due; it is noted first.
 func (l *boxLife) fire() {
-	if l.w.reached = wallOf(*l.m); l.dead.Load() {
+	if l.w.reached = wallOf(l.m.now()); l.dead.Load() {
 		return
 	}
 	var fire []durable.Firing
-	for _, f := range l.plan.Due(wallOf(*l.m)) {
+	for _, f := range l.plan.Due(wallOf(l.m.now())) {
 		a := ask("/own", f)
 		l.w.types[a.Identity] = a.Type
 		l.w.minutes[a.Identity] = true
@@ -252,9 +258,9 @@
 		}
 		return nil
 	}))
-	m := 0.0
+	m := &machineClock{}
 	from := wallOf(0)
-	box := begin(t, w, fs, &m, &dead, entries, from)
+	box := begin(t, w, fs, m, &dead, entries, from)
 	var clients []gateway.Ask
 	for i := range 12 {
 		clients = append(clients, gateway.Ask{Identity: gateway.Identity{Source: "/till", ID: fmt.Sprint(i)}, Function: "f",
@@ -266,7 +272,7 @@
 				box.store.Close()
 			}
 			dead.Store(false)
-			box = begin(t, w, after, &m, &dead, entries, from)
+			box = begin(t, w, after, m, &dead, entries, from)
 		}
 	}
 	for i := range 9 {
@@ -278,7 +284,7 @@
 			revive()
 			box.fire()
 			box.work(rng)
-			if *box.m += 0.2; !dead.Load() {
+			if box.m.add(0.2); !dead.Load() {
 				box.core.Tick(box.now())
 				box.settle()
 			}
--- a/drill/bench_state.go
+++ b/drill/bench_state.go
@@ -97,8 +97,8 @@
 			}
 			row.RateRatio = side.Rate / none
 			if store != nil && counts.Handled > 0 {
-				row.SyncsAnEvent = float64(store.Syncs) / float64(counts.Handled)
-				row.NotesAnEvent = float64(store.Notes) / float64(counts.Handled)
+				row.SyncsAnEvent = float64(store.Syncs.Load()) / float64(counts.Handled)
+				row.NotesAnEvent = float64(store.Notes.Load()) / float64(counts.Handled)
 			}
 			var m runtime.MemStats
 			runtime.GC()
--- a/durable/store.go
+++ b/durable/store.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
@@ -62,8 +63,8 @@
 	wake   chan struct{}
 	done   chan struct{}
 	closed bool
-	Syncs  int // commits that waited for the disk
-	Notes  int // notes in them
+	Syncs  atomic.Int64 // commits that waited for the disk
+	Notes  atomic.Int64 // notes in them
 }
 
 type pending struct {
@@ -428,7 +429,7 @@
 	defer caught(&err)
 	b := s.db.NewBatch()
 	for _, p := range list {
-		s.Notes += p.n
+		s.Notes.Add(int64(p.n))
 		for _, o := range p.ops {
 			if o.value == nil {
 				err = b.Delete(o.key, nil)
@@ -443,7 +444,7 @@
 	if err := b.Set(runKey, run(s.now().Run), nil); err != nil {
 		return err
 	}
-	s.Syncs++
+	s.Syncs.Add(1)
 	if s.opt.NoSync {
 		return b.Commit(pebble.NoSync)
 	}
