--- a/appliance/api.go
+++ b/appliance/api.go
@@ -83,7 +83,6 @@
 	Lanes   int      `json:"lanes"`
 	Out     int      `json:"out"`
 	Waiting int      `json:"waiting"`
-	Rate    float64  `json:"rate"`
 	Median  float64  `json:"median_ms"`
 }
 
@@ -461,7 +460,7 @@
 				if v.Ordered != "" && !slices.Contains(h.Loading, string(v.Ordered)) {
 					h.Loading = append(h.Loading, string(v.Ordered))
 				}
-				h.Out, h.Waiting, h.Rate = h.Out+v.Out, h.Waiting+v.Waiting, max(h.Rate, v.Rate)
+				h.Out, h.Waiting = h.Out+v.Out, h.Waiting+v.Waiting
 				h.Median = max(h.Median, v.Median*1000)
 			}
 		})
@@ -516,12 +515,13 @@
 	now := netNow()
 	e := Event{ID: t.Identity.ID, Source: t.Identity.Source, Type: t.Type, Function: t.Function, Tenant: t.Tenant, Open: t.Open,
 		Ago: now - t.Began, Front: front}
+	a := t.Answer
+	e.Worker, e.Launches = a.Worker, a.Launches
 	if t.Open {
 		e.Left = t.Left
 		return e
 	}
-	a := t.Answer
-	e.Outcome, e.Cause, e.Worker, e.Launches, e.Took = a.Kind.String(), a.Cause.String(), a.Worker, a.Launches, a.After
+	e.Outcome, e.Cause, e.Took = a.Kind.String(), a.Cause.String(), a.After
 	return e
 }
 
--- a/console/tables.go
+++ b/console/tables.go
@@ -150,13 +150,13 @@
 }
 
 func HandlerRows(list []appliance.Handler) [][]string {
-	rows := [][]string{{"HANDLER", "OUT", "WAITING", "RATE", "MEDIAN", "LANES", "LOADED ON"}}
+	rows := [][]string{{"HANDLER", "OUT", "WAITING", "MEDIAN", "LANES", "LOADED ON"}}
 	for _, h := range list {
 		on := strings.Join(h.Warm, " ")
 		if len(h.Loading) > 0 {
 			on += " (loading on " + strings.Join(h.Loading, " ") + ")"
 		}
-		rows = append(rows, []string{h.Name, fmt.Sprint(h.Out), fmt.Sprint(h.Waiting), fmt.Sprintf("%.1f/s", h.Rate),
+		rows = append(rows, []string{h.Name, fmt.Sprint(h.Out), fmt.Sprint(h.Waiting),
 			fmt.Sprintf("%.0f ms", h.Median), fmt.Sprint(h.Lanes), on})
 	}
 	return rows
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -72,7 +72,8 @@
 
 func (c *Core) trace(e *event) *Trace {
 	return &Trace{Identity: e.ask.Identity, Type: e.ask.Type, Function: e.ask.Function, Tenant: e.ask.Tenant, Began: e.began,
-		Left: e.due - c.now, Open: true, Askers: len(e.askers), Steps: e.steps}
+		Left: e.due - c.now, Open: true, Askers: len(e.askers), Steps: e.steps,
+		Answer: Answer{Launches: e.launches, Worker: string(e.lastWk)}}
 }
 
 // Explain is the way of an event, with the load orders of its function while it was open; the newest where its
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -139,7 +139,7 @@
 	Left     float64 // seconds until its client's time is up, if it is open
 	Open     bool
 	Askers   int
-	Answer   Answer // without its body; of no meaning while open
+	Answer   Answer // without its body; while open only its worker and launches count
 	Steps    []Step
 }
 
