Functions of timers that are due are loaded ahead; the crontab is read again in service

Need: at midnight every shop's reset meets functions that nobody holds; and a changed crontab wanted a restart.

--- a/appliance/box.go
+++ b/appliance/box.go
@@ -1,10 +1,12 @@
 package appliance
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -42,6 +44,7 @@
 	life   Life
 	chores *Chores
 	plan   *timers.Plan
+	tab    []byte // the crontab's text
 	list   []timers.Entry
 	held   map[string]bool      // timer entries that a console holds
 	fired  map[string]time.Time // by entry: the last minute fired for
@@ -67,19 +70,26 @@
 type second struct{ Handled, Deferred, DeadLettered, Late int }
 
 // choresFor are the box's background work. Compaction and expiry keep the state bounded; the tick makes a restart
-// count the time of service.
-func choresFor(stored bool) []Chore {
+// count the time of service. Functions of timers that are due soon are loaded ahead, where the decisions see fit.
+func choresFor(stored, timed bool) (list []Chore) {
+	if timed {
+		list = append(list, Chore{Name: "ahead", Every: 1, Priority: 4, Slice: 0.05, Share: 0.05},
+			Chore{Name: "crontab", Every: 2, Priority: 1, Slice: 0.1, Share: 0.02, Patience: 60})
+	}
 	if !stored {
-		return nil
+		return list
 	}
-	return []Chore{
+	return append(list, []Chore{
 		{Name: "tick", Every: 1, Priority: 3, Slice: 0.05, Urgent: true},
 		{Name: "expiry", Every: 5, Priority: 2, Slice: 0.02, Share: 0.05, Patience: 30},
 		{Name: "compaction", Every: 600, Priority: 1, Slice: 1, Share: 0.05, Patience: 1800},
-	}
+	}...)
 }
 
-const expirySlice = 500 // records that one slice looks at
+const (
+	expirySlice = 500 // records that one slice looks at
+	aheadOrders = 20  // load orders that one slice may give
+)
 
 // Run runs a box until it is stopped; ctx ending asks it to stop in order, and hurry makes it stop now. ready is
 // called with the front ends' addresses once it serves; it may be nil.
@@ -233,7 +243,7 @@
 		}
 	}
 	b.mu.Lock()
-	b.chores = NewChores(b.seconds(), choresFor(b.store != nil)...)
+	b.chores = NewChores(b.seconds(), choresFor(b.store != nil, b.cfg.Timers != nil)...)
 	b.mu.Unlock()
 	b.move(Opened, "")
 }
@@ -340,23 +350,59 @@
 }
 
 func (b *Box) planTimers() error {
+	for k, v := range b.found.Fired {
+		b.fired[k] = v
+	}
+	return b.rereadTimers()
+}
+
+// rereadTimers plans by the crontab if it differs from the last one. A faulty one leaves the last in force.
+func (b *Box) rereadTimers() error {
 	path := b.cfg.Path(b.cfg.Timers.Crontab)
-	file, err := os.Open(path)
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("crontab: %w", err)
 	}
-	defer file.Close()
-	list, err := timers.Parse(file, path)
+	if b.plan != nil && bytes.Equal(data, b.tab) {
+		return nil
+	}
+	list, err := timers.Parse(bytes.NewReader(data), path)
 	if err != nil {
 		return err
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.list = list
-	for k, v := range b.found.Fired {
-		b.fired[k] = v
+	if b.plan != nil {
+		b.log.Info("the crontab changed", "entries", len(list), "were", len(b.list))
+	}
+	// An entry that is new plans from now; one that stays goes on from its last minute.
+	b.tab, b.list = data, list
+	b.plan = timers.Resume(list, b.fired, time.Now())
+	return nil
+}
+
+// loadAhead has functions loaded whose timers are due before a loaded copy would lapse again.
+func (b *Box) loadAhead(until time.Time) error {
+	b.mu.Lock()
+	list, held := b.list, maps.Clone(b.held)
+	b.mu.Unlock()
+	span := time.Duration(b.cfg.Workers.KeepWarm / 2 * float64(time.Second))
+	orders := 0
+	for _, f := range timers.Soon(list, time.Now(), span) {
+		if held[f.Entry.Key()] {
+			continue
+		}
+		ordered, err := b.byAddr[timers.Ranked(b.addrs, f.ID)[0]].Ahead(f.Entry.Type, f.Entry.Function)
+		if err != nil {
+			return err
+		}
+		if ordered {
+			orders++
+		}
+		if orders >= aheadOrders || time.Now().After(until) {
+			break
+		}
 	}
-	b.plan = timers.Resume(list, b.found.Fired, time.Now())
 	return nil
 }
 
@@ -391,15 +437,12 @@
 // fireLoop fires what is due. A firing is on disk before its event begins: a restart neither loses a minute nor
 // fires it twice.
 func (b *Box) fireLoop() {
-	b.mu.Lock()
-	plan := b.plan
-	b.mu.Unlock()
-	if plan == nil {
+	if b.cfg.Timers == nil {
 		return
 	}
 	for {
 		b.mu.Lock()
-		stopped := b.hold
+		stopped, plan := b.hold, b.plan
 		var due []timers.Firing
 		if !stopped {
 			due = plan.Due(time.Now())
@@ -533,7 +576,7 @@
 
 func (b *Box) slice() {
 	b.mu.Lock()
-	ready := b.chores != nil && b.life.State >= Recovering && b.life.State < Writing
+	ready := b.chores != nil && b.life.State >= Serving && b.life.State < Finishing
 	b.mu.Unlock()
 	if !ready {
 		return
@@ -549,6 +592,10 @@
 	more := false
 	var err error
 	switch name {
+	case "ahead":
+		err = b.loadAhead(at.Add(time.Duration(budget * float64(time.Second))))
+	case "crontab":
+		err = b.rereadTimers()
 	case "tick":
 		err = b.store.Tick()
 	case "expiry":
--- a/appliance/box_test.go
+++ b/appliance/box_test.go
@@ -261,3 +261,46 @@
 		r.end()
 	}
 }
+
+// A crontab that changes is taken up while the box runs; a faulty one is reported and leaves the last in force.
+func TestCrontabChangesInService(t *testing.T) {
+	r := newRunning(t, 1, "0 0 1 1 * again tally\n")
+	r.start()
+	entries := func() int {
+		resp, err := r.http.Get("http://box/v1/timers")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var list []Timer
+		if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+			t.Fatal(err)
+		}
+		return len(list)
+	}
+	write := func(tab string) {
+		if err := os.WriteFile(filepath.Join(r.dir, "crontab"), []byte(tab), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("61 0 1 1 * again tally\n")
+	r.wait("the fault is shown", func() bool {
+		for _, c := range r.status().Chores {
+			if c.Name == "crontab" && strings.Contains(c.LastErr, "crontab:1: schedule") {
+				return true
+			}
+		}
+		return false
+	})
+	if n := entries(); n != 1 {
+		t.Errorf("%d entries in force", n)
+	}
+	write("0 0 1 1 * again tally\n0 0 1 2 * once tally\n")
+	for range 1000 { // a chore that failed waits longer
+		if entries() == 2 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the new crontab is not taken up")
+}
--- a/control/control.go
+++ b/control/control.go
@@ -227,6 +227,38 @@
 	return f.at(wk)
 }
 
+func (r *Router) function(in Event) *function {
+	f := r.fns[in.Function]
+	if f == nil {
+		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1, width: 1}
+		r.fns[f.id], r.brief[uint16(f.hash)], r.every = f, f, append(r.every, f)
+	}
+	f.lanes, f.heard, f.load = max(in.Lanes, 1), r.now, max(in.Load, f.load)
+	return f
+}
+
+// Ahead has a copy loaded of a function that will be asked for soon, where none stands and the ration leaves
+// room: against a minute in which all timers fire at functions that nobody holds. It tells of an order.
+func (r *Router) Ahead(now float64, in Event) bool {
+	r.now = now
+	e := &event{Event: in, fn: r.function(in), wk: -1, kind: &EventType{}}
+	wk, _ := r.bestWarm(e, false)
+	site := -1
+	if wk < 0 && e.fn.order < 0 && r.mayOrder() {
+		if site = r.loadSite(e, 1); site >= 0 {
+			r.order(e.fn, site)
+		}
+	}
+	r.settle()
+	return site >= 0
+}
+
+func (r *Router) order(f *function, site int) {
+	f.order, f.orderedAt, f.pause = site, r.now, r.now+moreEvery+moreLost*r.lost
+	r.ordered = append(r.within(r.ordered, r.dep.LoadWindow), r.now)
+	r.host.Hold(r.id[site], f.id, 1)
+}
+
 func (r *Router) Event(now float64, in Event) {
 	r.now = now
 	// A type that was never stated is handled with the most care.
@@ -237,14 +269,8 @@
 			e.kind = &r.dep.EventTypes[i]
 		}
 	}
-	f := r.fns[in.Function]
-	if f == nil {
-		f = &function{id: in.Function, hash: hash(string(in.Function)), order: -1, width: 1}
-		r.fns[f.id], r.brief[uint16(f.hash)], r.every = f, f, append(r.every, f)
-	}
-	f.lanes, f.heard, f.load = max(in.Lanes, 1), now, max(in.Load, f.load)
 	r.mark++
-	e.fn, e.mark = f, r.mark
+	e.fn, e.mark = r.function(in), r.mark
 	r.evts[e.ID], r.marks[e.mark] = e, e
 	r.taken = append(r.within(r.taken, r.dep.LoadWindow), now)
 	// Against an event that waits here past its time: a launch would end by itself.
@@ -789,9 +815,7 @@
 		soon := r.now < e.fn.pause && slices.ContainsFunc(e.fn.places, standing) // with room or without
 		if (wk < 0 || short > 0) && e.fn.order < 0 && e.waits < waitsMost && !soon && r.mayOrder() {
 			if site := r.loadSite(e, short); site >= 0 {
-				e.fn.order, e.fn.orderedAt, e.fn.pause = site, r.now, r.now+moreEvery+moreLost*r.lost
-				r.ordered = append(r.within(r.ordered, r.dep.LoadWindow), r.now)
-				r.host.Hold(r.id[site], e.fn.id, 1)
+				r.order(e.fn, site)
 			}
 		}
 		if wk < 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -426,3 +426,35 @@
 		t.Fatalf("%s: handled %v after %d launches", w.bad, got.handled, len(got.launches))
 	}
 }
+
+// What is loaded ahead stands when it is asked for; a copy that stands, a load under way and a spent ration get no
+// order, and no event is launched for it.
+func TestLoadedAheadOfTime(t *testing.T) {
+	d := plain()
+	d.LoadWindow, d.LoadFree = 5, 2
+	w := newWorld(4, d, 3)
+	f := w.fes[0]
+	w.step(0.1)
+	in := Event{Type: "free", Function: "f0", Lanes: 1, Load: 0.5}
+	if !f.r.Ahead(w.now, in) || f.r.Ahead(w.now, in) {
+		t.Fatal("one order is wanted, not none or two")
+	}
+	for range 200 {
+		w.step(0.01)
+	}
+	if f.r.Ahead(w.now, in) || w.homes() != 1 {
+		t.Fatal("ordered though a copy stands")
+	}
+	got := f.take("e", "f0", d.EventTypes[0], 3)
+	if len(got.launches) != 1 {
+		t.Fatal("it had to wait")
+	}
+	in.Function = "f1"
+	f.r.Ahead(w.now, in)
+	if in.Function = "f2"; f.r.Ahead(w.now, in) {
+		t.Fatal("ordered past the ration")
+	}
+	if w.bad != "" {
+		t.Fatal(w.bad)
+	}
+}
--- a/drill/run.go
+++ b/drill/run.go
@@ -455,12 +455,32 @@
 		return base.Add(time.Duration(minutes * float64(time.Minute)))
 	}
 	until := func(t time.Time) time.Duration { return time.Duration(float64(t.Sub(clock())) / 60 * s.Minute) }
+	if s.Ahead > 0 && no == 0 {
+		go d.ahead(ctx, entries, clock)
+	}
 	c := d.client("/timers/drill", s.Repeats)
 	plan := timers.NewPlan(entries, clock())
 	c.Ended = d.ended
 	c.Run(ctx, plan, clock, until)
 }
 
+// ahead has functions loaded whose timers are due soon, as the box does.
+func (d *day) ahead(ctx context.Context, entries []timers.Entry, clock func() time.Time) {
+	span := time.Duration(d.script.Ahead / d.script.Minute * float64(time.Minute))
+	for d.sleep(ctx, 0.1) {
+		for _, f := range timers.Soon(entries, clock(), span) {
+			front := timers.Ranked(d.addrs, f.ID)[0]
+			for i, a := range d.addrs {
+				if a == front {
+					if _, err := d.fronts[i].Ahead(f.Entry.Type, f.Entry.Function); err != nil {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 // unique drops lines that stand twice, as entries of a crontab may not.
 func unique(tab string) string {
 	seen := map[string]bool{}
--- a/drill/script.go
+++ b/drill/script.go
@@ -31,6 +31,7 @@
 	OnEvent   bool               `json:"load_on_event"`
 	Ration    [3]float64         `json:"ration"` // load window, orders free, orders for each event
 	Repeats   int                `json:"repeats"`
+	Ahead     float64            `json:"ahead"` // seconds before a timer is due that its function is loaded; 0: never
 	Troubles  []Trouble          `json:"troubles"`
 }
 
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -249,6 +249,15 @@
 	c.begin(&event{ask: ask, kind: kind, askers: []asker{{to, due}}, began: c.now, due: due})
 }
 
+// Ahead has a copy of a function loaded that will be asked for soon, if the decisions find that none stands and that
+// the ration of load orders leaves room. It tells whether an order went out.
+func (c *Core) Ahead(now float64, eventType, function string) bool {
+	c.at(now)
+	fn := c.set.Functions(function)
+	return c.router.Ahead(c.now, control.Event{Type: eventType, Function: control.FunctionID(function), Lanes: fn.Lanes,
+		Memory: fn.Memory, Load: fn.Load})
+}
+
 // again tells whether a repeat must be answered from what is kept. Only a deferral lets an event run again, and of
 // a keyed one only while the workers still know its first run.
 func (c *Core) again(k *kept, kind *control.EventType) bool {
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -522,6 +522,12 @@
 	return
 }
 
+// Ahead has a copy of a function loaded that will be asked for soon; it tells whether the decisions ordered one.
+func (s *Server) Ahead(eventType, fn string) (ordered bool, err error) {
+	err = s.Do(func(c *gateway.Core) { ordered = c.Ahead(Now(), eventType, fn) })
+	return
+}
+
 // Unload asks every worker that is believed to hold a function to let its idle copies go, and tells how many.
 func (s *Server) Unload(fn string) (asked int, err error) {
 	err = s.Do(func(c *gateway.Core) {
--- a/timers/plan.go
+++ b/timers/plan.go
@@ -175,6 +175,22 @@
 	return append(missed, due...)
 }
 
+// Soon are the firings that are due within a span from now, the first of each function, in the order of the crontab.
+func Soon(entries []Entry, now time.Time, span time.Duration) []Firing {
+	var soon []Firing
+	seen := map[string]bool{}
+	for i := range entries {
+		e := &entries[i]
+		due := e.next(now)
+		if due.IsZero() || due.After(now.Add(span)) || seen[e.Function] {
+			continue
+		}
+		seen[e.Function] = true
+		soon = append(soon, Firing{Entry: e, Due: due, ID: ID(e, due)})
+	}
+	return soon
+}
+
 const (
 	againFirst = 250 * time.Millisecond // pause before a deferred firing is tried again, doubled each time
 	againMost  = 5 * time.Second        // up to this
