--- a/front/http/session.go
+++ b/front/http/session.go
@@ -245,7 +245,7 @@
 
 // Tick tells what time does: a request that takes too long to come in is answered and ends the connection; a
 // connection that is idle too long just ends.
-func (s *Session) Tick(now float64) {
+func (s *Session) Tick(now float64) bool {
 	switch {
 	case s.closed || s.gone:
 	case !s.in.Idle() && now-s.began > s.limits.Arrival:
@@ -254,6 +254,7 @@
 	case s.in.Idle() && len(s.slots) == 0 && now-s.quiet > s.limits.Idle:
 		s.closed = true
 	}
+	return s.out.Len() > 0 || s.Done()
 }
 
 func (s *Session) render(status int, fields []gateway.Field, body []byte, last bool) []byte {
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -234,6 +234,7 @@
 	if k := c.remembered(ask.Identity); k != nil && c.again(k, kind) {
 		a := k.answer
 		a.Repeat = true
+		a.Firm = kind.Repeat != control.Redeliverable // the note of it may not be on disk yet
 		c.count.FromKept++
 		c.out.Answer(to, a)
 		return
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -447,8 +447,9 @@
 			s.loop.Close(cl.c)
 			continue
 		}
-		cl.session.Tick(now)
-		s.mark(cl)
+		if cl.session.Tick(now) {
+			s.mark(cl)
+		}
 	}
 	s.settle()
 }
--- a/netloop/sides.go
+++ b/netloop/sides.go
@@ -43,11 +43,16 @@
 
 func (o *outside) Answer(to gateway.Asker, a gateway.Answer) {
 	s := (*Server)(o)
-	if a.Firm && s.set.Keeper != nil {
-		s.keep.held = append(s.keep.held, held{answer: a, to: to})
-		return
+	switch k := &s.keep; { // its note waits for the next commit, or is in the one that is out, or is kept
+	case !a.Firm || s.set.Keeper == nil:
+		s.answer(to, a)
+	case len(k.notes) > 0:
+		k.held = append(k.held, held{answer: a, to: to})
+	case k.busy:
+		k.out = append(k.out, held{answer: a, to: to})
+	default:
+		s.answer(to, a)
 	}
-	s.answer(to, a)
 }
 
 func (s *Server) answer(to gateway.Asker, a gateway.Answer) {
