Versions of functions: registry, binding, rollouts, answers that name the digest

Need: during releases the wrong version of a handler answered for a shop.

Change: handlers/ is a registry without I/O: immutable versions by digest, aliases, rollouts by share and tenant that go back by stated signs, an audit trail that makes it; gateway binds an event once and keeps the version for its repeats, over restarts too; to control each version is a function of its own. Workers are asked by version and digest (If-Match; 412 proves that nothing ran) and prove what ran (Docker-Content-Digest); an answer of another digest is never handed on. streamcleat handler publish, alias, roll, back, withdraw, verify, list and trail; the trail is on disk before a change is in force.

--- a/appliance/api.go
+++ b/appliance/api.go
@@ -183,6 +183,29 @@
 	get("/v1/status", func(*http.Request) (any, error) { return b.status(), nil })
 	get("/v1/workers", func(*http.Request) (any, error) { return b.workers(), nil })
 	get("/v1/handlers", func(*http.Request) (any, error) { return b.handlers(), nil })
+	get("/v1/registry", func(*http.Request) (any, error) { return b.reg.list(), nil })
+	get("/v1/trail", func(*http.Request) (any, error) { return b.reg.trail(), nil })
+	mux.HandleFunc("POST /v1/registry", func(w http.ResponseWriter, r *http.Request) {
+		var c Change
+		d := json.NewDecoder(io.LimitReader(r.Body, 1<<20))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&c); err != nil {
+			reply(w, nil, refusal{http.StatusBadRequest, "change: " + err.Error()})
+			return
+		}
+		b.mu.Lock()
+		state := b.life.State
+		b.mu.Unlock()
+		if state != Serving {
+			reply(w, nil, fmt.Errorf("no change of the registry while the box is %s", state))
+			return
+		}
+		said, err := b.reg.change(c)
+		if err == nil {
+			b.log.Info("handlers", "said", said, "who", c.Who)
+		}
+		reply(w, map[string]string{"said": said}, err)
+	})
 	get("/v1/timers", func(*http.Request) (any, error) { return b.timers(), nil })
 	get("/v1/events", func(r *http.Request) (any, error) {
 		most := 100
--- a/appliance/box.go
+++ b/appliance/box.go
@@ -40,6 +40,8 @@
 	hushed  func() error // closes the console's socket
 	err     error
 
+	reg registry
+
 	mu     sync.Mutex
 	life   Life
 	chores *Chores
@@ -72,6 +74,7 @@
 // choresFor are the box's background work. Compaction and expiry keep the state bounded; the tick makes a restart
 // count the time of service. Functions of timers that are due soon are loaded ahead, where the decisions see fit.
 func choresFor(stored, timed bool) (list []Chore) {
+	list = append(list, Chore{Name: "rollouts", Every: 1, Priority: 4, Slice: 0.05, Urgent: true})
 	if timed {
 		list = append(list, Chore{Name: "ahead", Every: 1, Priority: 4, Slice: 0.05, Share: 0.05},
 			Chore{Name: "crontab", Every: 2, Priority: 1, Slice: 0.1, Share: 0.02, Patience: 60})
@@ -242,6 +245,10 @@
 			return
 		}
 	}
+	if err := b.reg.open(b.store, b.found.Trail); err != nil {
+		b.fail(err)
+		return
+	}
 	b.mu.Lock()
 	b.chores = NewChores(b.seconds(), choresFor(b.store != nil, b.cfg.Timers != nil)...)
 	b.mu.Unlock()
@@ -319,7 +326,9 @@
 		if len(c.Listen) > 1 {
 			name = fmt.Sprintf("%s-%d", c.Name, i)
 		}
-		set := netloop.Settings{Name: name, Listen: addr, WorkersFile: c.Path(c.Workers.File), Core: c.Core(rand.Uint64()),
+		core := c.Core(rand.Uint64())
+		core.Bind, core.MayRun = b.bind, b.reg.mayRun
+		set := netloop.Settings{Name: name, Listen: addr, WorkersFile: c.Path(c.Workers.File), Core: core,
 			Pool: c.Pool(name), Front: c.Front(), MostConns: c.Limits.Connections, Log: b.log, Kept: b.found.Events,
 			Ended: b.note, KeepWithin: time.Duration(c.Limits.Margin / 2 * float64(time.Second))}
 		if b.store != nil {
@@ -519,6 +528,7 @@
 // note takes each ended event, on its front end's loop.
 func (b *Box) note(a gateway.Answer, t *gateway.Trace) {
 	b.teller.Ended(a, t)
+	b.reg.seen(a)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := &b.ended.now
@@ -596,6 +606,8 @@
 		err = b.loadAhead(at.Add(time.Duration(budget * float64(time.Second))))
 	case "crontab":
 		err = b.rereadTimers()
+	case "rollouts":
+		err = b.reg.judge(b.log)
 	case "tick":
 		err = b.store.Tick()
 	case "expiry":
--- /dev/null
+++ b/cmd/streamcleat/handler.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/opencontainers/go-digest"
+	"github.com/spf13/cobra"
+
+	"streamcleat/appliance"
+	"streamcleat/console"
+	"streamcleat/handlers"
+)
+
+// handlerCommand holds what is done to the registry of functions.
+func handlerCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "handler", Short: "Versions of functions, the aliases that name them, and rollouts"}
+	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerBack(), handlerWithdraw(), handlerVerify(),
+		registryTable("list", "Functions with their versions and aliases", func(c *console.Client) (any, [][]string, error) {
+			var list []handlers.View
+			err := c.Get("registry", &list)
+			return list, console.RegistryRows(list), err
+		}),
+		registryTable("trail", "Who changed what when", func(c *console.Client) (any, [][]string, error) {
+			var list []handlers.Entry
+			err := c.Get("trail", &list)
+			return list, console.TrailRows(list), err
+		}))
+	return cmd
+}
+
+func registryTable(use, short string, get func(*console.Client) (any, [][]string, error)) *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
+	client := reach(cmd)
+	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
+	cmd.RunE = func(*cobra.Command, []string) error {
+		c, err := client()
+		if err != nil {
+			return err
+		}
+		v, rows, err := get(c)
+		if err != nil {
+			return err
+		}
+		return show(asJSON, v, func() string { return console.Table(rows) })
+	}
+	return cmd
+}
+
+// change adds the flags that every change has, and makes it.
+func change(cmd *cobra.Command, make func(c *console.Client, args []string) (appliance.Change, error)) *cobra.Command {
+	var why string
+	var asJSON bool
+	client := reach(cmd)
+	cmd.Flags().StringVar(&why, "why", "", "reason, for the audit trail")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
+	cmd.RunE = func(_ *cobra.Command, args []string) error {
+		c, err := client()
+		if err != nil {
+			return err
+		}
+		ch, err := make(c, args)
+		if err != nil {
+			return err
+		}
+		if ch.Why == "" {
+			ch.Why = why
+		}
+		said, err := c.Change(ch)
+		if err != nil {
+			return err
+		}
+		return show(asJSON, map[string]string{"said": said}, func() string { return said })
+	}
+	return cmd
+}
+
+// named is the version that a reference names at the box.
+func named(c *console.Client, ref string) (handlers.Version, error) {
+	var list []handlers.View
+	if err := c.Get("registry", &list); err != nil {
+		return handlers.Version{}, err
+	}
+	r, err := handlers.ParseRef(ref)
+	if err != nil {
+		return handlers.Version{}, err
+	}
+	for _, f := range list {
+		for _, v := range f.Versions {
+			if f.Function == r.Function && (v.Digest == r.Digest || r.Digest == "" && (v.Name == r.Tag || f.Aliases[r.Tag] == v.Digest)) {
+				return v, nil
+			}
+		}
+	}
+	return handlers.Version{}, fmt.Errorf("%s: %w", ref, handlers.ErrUnknown)
+}
+
+func handlerPublish() *cobra.Command {
+	var v handlers.Version
+	var sum, file string
+	cmd := &cobra.Command{Use: "publish FUNCTION:VERSION", Short: "Add a version; versions never change", Args: cobra.ExactArgs(1)}
+	f := cmd.Flags()
+	f.StringVar(&sum, "digest", "", "sha256:... of its manifest")
+	f.StringVar(&file, "file", "", "manifest whose digest it is, in place of --digest")
+	f.IntVar(&v.Lanes, "lanes", 0, "events that a copy runs at a time")
+	f.Float64Var(&v.Memory, "memory", 0, "MB of one copy")
+	f.Float64Var(&v.Load, "load", 0, "usual seconds of a load")
+	f.StringSliceVar(&v.Types, "types", nil, "event types that it takes; none: all")
+	return change(cmd, func(_ *console.Client, args []string) (appliance.Change, error) {
+		name, version, ok := strings.Cut(args[0], ":")
+		if !ok {
+			return appliance.Change{}, exit{2, fmt.Errorf("%q is not FUNCTION:VERSION", args[0])}
+		}
+		v.Function, v.Name, v.Digest = name, version, digest.Digest(sum)
+		if file != "" {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				return appliance.Change{}, err
+			}
+			v.Digest = digest.FromBytes(data)
+		}
+		return appliance.Change{Entry: handlers.Entry{Publish: &v}}, nil
+	})
+}
+
+func handlerAlias() *cobra.Command {
+	var remove bool
+	cmd := &cobra.Command{Use: "alias FUNCTION:ALIAS [VERSION]", Short: "Make an alias name a version at once", Args: cobra.RangeArgs(1, 2)}
+	cmd.Flags().BoolVar(&remove, "remove", false, "remove the alias")
+	return change(cmd, func(c *console.Client, args []string) (appliance.Change, error) {
+		r, err := handlers.ParseRef(args[0])
+		if err != nil {
+			return appliance.Change{}, exit{2, err}
+		}
+		m := &handlers.Move{Function: r.Function, Alias: r.Tag}
+		if !remove {
+			if len(args) < 2 {
+				return appliance.Change{}, exit{2, fmt.Errorf("which version is %s to name?", args[0])}
+			}
+			v, err := named(c, r.Function+":"+args[1])
+			if err != nil {
+				return appliance.Change{}, err
+			}
+			m.Digest = v.Digest
+		}
+		return appliance.Change{Entry: handlers.Entry{Move: m}}, nil
+	})
+}
+
+func handlerRoll() *cobra.Command {
+	var ro handlers.Rollout
+	cmd := &cobra.Command{Use: "roll FUNCTION:ALIAS VERSION", Short: "Take an alias to a version by shares or tenants; it goes back by itself when answers get worse",
+		Args: cobra.ExactArgs(2)}
+	f := cmd.Flags()
+	f.Float64SliceVar(&ro.Steps, "steps", []float64{0.05, 0.25, 0.5}, "shares that it goes through")
+	f.Float64Var(&ro.Hold, "hold", 60, "seconds at each step")
+	f.IntVar(&ro.Least, "least", 20, "answers of the new version that a step needs")
+	f.Float64Var(&ro.MostBad, "most-bad", 0.05, "share of bad answers, beyond that of the old version, at which it goes back")
+	f.StringSliceVar(&ro.Tenants, "tenants", nil, "tenants whose events get the new version at once")
+	return change(cmd, func(c *console.Client, args []string) (appliance.Change, error) {
+		r, err := handlers.ParseRef(args[0])
+		if err != nil {
+			return appliance.Change{}, exit{2, err}
+		}
+		v, err := named(c, r.Function+":"+args[1])
+		if err != nil {
+			return appliance.Change{}, err
+		}
+		ro.Function, ro.Alias, ro.To = r.Function, r.Tag, v.Digest
+		return appliance.Change{Entry: handlers.Entry{Rollout: &ro}}, nil
+	})
+}
+
+func handlerBack() *cobra.Command {
+	cmd := &cobra.Command{Use: "back FUNCTION:ALIAS", Short: "Take an alias back to what it named before", Args: cobra.ExactArgs(1)}
+	return change(cmd, func(_ *console.Client, args []string) (appliance.Change, error) {
+		r, err := handlers.ParseRef(args[0])
+		if err != nil {
+			return appliance.Change{}, exit{2, err}
+		}
+		ch := appliance.Change{Back: &struct {
+			Function string `json:"function"`
+			Alias    string `json:"alias"`
+		}{r.Function, r.Tag}}
+		return ch, nil
+	})
+}
+
+func handlerWithdraw() *cobra.Command {
+	cmd := &cobra.Command{Use: "withdraw FUNCTION:VERSION", Short: "Take a version out of use for good", Args: cobra.ExactArgs(1)}
+	return change(cmd, func(c *console.Client, args []string) (appliance.Change, error) {
+		v, err := named(c, args[0])
+		if err != nil {
+			return appliance.Change{}, err
+		}
+		return appliance.Change{Entry: handlers.Entry{Withdraw: v.Function + "@" + string(v.Digest)}}, nil
+	})
+}
+
+func handlerVerify() *cobra.Command {
+	cmd := &cobra.Command{Use: "verify FUNCTION:VERSION FILE", Short: "Check a manifest's digest against the registry", Args: cobra.ExactArgs(2)}
+	client := reach(cmd)
+	cmd.RunE = func(_ *cobra.Command, args []string) error {
+		c, err := client()
+		if err != nil {
+			return err
+		}
+		v, err := named(c, args[0])
+		if err != nil {
+			return err
+		}
+		data, err := os.ReadFile(args[1])
+		if err != nil {
+			return err
+		}
+		if got := digest.FromBytes(data); got != v.Digest {
+			return fmt.Errorf("%s has digest %s, and %s:%s is %s", args[1], got, v.Function, v.Name, v.Digest)
+		}
+		fmt.Printf("%s is %s:%s\n", args[1], v.Function, v.Name)
+		return nil
+	}
+	return cmd
+}
--- a/cmd/streamcleat/operate.go
+++ b/cmd/streamcleat/operate.go
@@ -36,7 +36,7 @@
 		orderCommand("hold ENTRY", "Let a timer entry not fire; --release lets it fire again", func(c *cobra.Command, o *appliance.Order) {
 			c.Flags().BoolVar(&o.Release, "release", false, "let it fire again")
 		}),
-		stopCommand()}
+		handlerCommand(), stopCommand()}
 }
 
 // reach adds the flags by which a box is found and returns what makes a client of them.
--- a/console/client.go
+++ b/console/client.go
@@ -89,3 +89,17 @@
 	err = c.do(http.MethodPost, "/v1/orders", body, &said)
 	return said.Said, err
 }
+
+// Change asks the box to change its registry of functions and returns what it says.
+func (c *Client) Change(change appliance.Change) (string, error) {
+	if change.Who == "" {
+		change.Who = c.Name
+	}
+	body, err := json.Marshal(change)
+	if err != nil {
+		return "", err
+	}
+	var said struct{ Said string }
+	err = c.do(http.MethodPost, "/v1/registry", body, &said)
+	return said.Said, err
+}
--- a/console/tables.go
+++ b/console/tables.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"streamcleat/appliance"
+	registry "streamcleat/handlers"
 )
 
 // bars are the heights of a sparkline.
@@ -212,3 +213,47 @@
 	}
 	return table(rows) + "\n\n" + table(steps)
 }
+
+// RegistryRows lists versions with the aliases and rollouts that name them.
+func RegistryRows(list []registry.View) [][]string {
+	rows := [][]string{{"FUNCTION", "VERSION", "ALIASES", "LANES", "LOAD", "DIGEST"}}
+	for _, f := range list {
+		for _, v := range f.Versions {
+			var names []string
+			for a, d := range f.Aliases {
+				if d == v.Digest {
+					names = append(names, a)
+				}
+			}
+			for _, ro := range f.Rollouts {
+				if ro.To == v.Digest {
+					names = append(names, fmt.Sprintf("%s for %.0f%%", ro.Alias, ro.Share*100))
+				}
+			}
+			sort.Strings(names)
+			if v.Withdrawn {
+				names = append(names, "WITHDRAWN")
+			}
+			rows = append(rows, []string{f.Function, v.Name, strings.Join(names, ", "), fmt.Sprint(v.Lanes), span(v.Load), string(v.Digest)})
+		}
+	}
+	return rows
+}
+
+// TrailRows lists who changed what when.
+func TrailRows(list []registry.Entry) [][]string {
+	rows := [][]string{{"WHEN", "WHO", "WHAT", "WHY"}}
+	for _, e := range list {
+		what := "withdraw " + e.Withdraw
+		switch {
+		case e.Publish != nil:
+			what = fmt.Sprintf("publish %s:%s %s", e.Publish.Function, e.Publish.Name, e.Publish.Digest)
+		case e.Move != nil:
+			what = fmt.Sprintf("alias %s:%s to %s", e.Move.Function, e.Move.Alias, e.Move.Digest)
+		case e.Rollout != nil:
+			what = fmt.Sprintf("rollout %s:%s to %s, %.0f%%", e.Rollout.Function, e.Rollout.Alias, e.Rollout.To, e.Rollout.Share*100)
+		}
+		rows = append(rows, []string{time.UnixMicro(int64(e.At * 1e6)).Local().Format("2006-01-02 15:04:05"), e.Who, what, e.Why})
+	}
+	return rows
+}
--- a/durable/ledger.go
+++ b/durable/ledger.go
@@ -50,6 +50,7 @@
 	Ran      Stamp           `cbor:"15,keyasint"` // first launch that may have run
 	At       Stamp           `cbor:"16,keyasint"` // when it was noted
 	After    float64         `cbor:"17,keyasint,omitempty"`
+	Binding  gateway.Binding `cbor:"18,keyasint,omitempty"`
 }
 
 // own is an event whose source is the box itself: it is open until it has its answer, over restarts.
@@ -63,12 +64,14 @@
 type op struct{ key, value []byte }
 
 // Keys: e/HASH a record, x/RUN/HASH its place in the order of expiry, t/ENTRY the last minute that a timer entry
-// fired for, o/HASH an open event of the box, m/... about the store itself.
+// fired for, o/HASH an open event of the box, h/NUMBER
+// an entry of the handlers' audit trail, m/... about the store itself.
 var (
 	eventPrefix  = []byte("e/")
 	expiryPrefix = []byte("x/")
 	timerPrefix  = []byte("t/")
 	ownPrefix    = []byte("o/")
+	trailPrefix  = []byte("h/")
 	formKey      = []byte("m/form")
 	runKey       = []byte("m/run")
 	configKey    = []byte("m/config")
@@ -97,7 +100,7 @@
 	a := n.Answer
 	r := record{Kind: uint8(n.Kind), Source: a.Identity.Source, ID: a.Identity.ID, Type: a.EventType, Function: a.FunctionID,
 		Tenant: a.Tenant, Outcome: uint8(a.Kind), Cause: uint8(a.Cause), Pause: a.Pause, Worker: a.Worker, Launches: a.Launches,
-		Fields: a.Fields, Body: a.Body, MayRun: n.MayRun, Ran: now, At: now, After: a.After}
+		Fields: a.Fields, Body: a.Body, MayRun: n.MayRun, Ran: now, At: now, After: a.After, Binding: a.Binding}
 	r.Ran.Up -= n.RanAgo
 	r.Ran.Run -= n.RanAgo
 	value, err := cbor.Marshal(r)
@@ -120,7 +123,7 @@
 	k := gateway.Kept{Note: gateway.Note{Kind: gateway.NoteKind(r.Kind), MayRun: r.MayRun, Answer: gateway.Answer{
 		Identity: gateway.Identity{Source: r.Source, ID: r.ID}, EventType: r.Type, FunctionID: r.Function, Tenant: r.Tenant,
 		Kind: gateway.Kind(r.Outcome), Cause: gateway.Cause(r.Cause), Pause: r.Pause, Worker: r.Worker, Launches: r.Launches,
-		Fields: r.Fields, Body: r.Body, After: r.After}}, Age: max(now.Run-r.At.Run, 0)}
+		Fields: r.Fields, Body: r.Body, After: r.After, Binding: r.Binding}}, Age: max(now.Run-r.At.Run, 0)}
 	k.RanAgo, k.Reliable = r.Ran.since(now)
 	return k, nil
 }
--- a/durable/store.go
+++ b/durable/store.go
@@ -44,6 +44,7 @@
 	Events   []gateway.Kept
 	Own      []Open
 	Fired    map[string]time.Time // by timer entry: the last minute it fired for
+	Trail    [][]byte             // entries of the handlers' audit trail, in order
 	Config   []byte               // the last configuration that was in force
 	Fresh    bool                 // there was no store
 	SetAside string               // where a store that can't be trusted was put; "" where there was none
@@ -202,9 +203,21 @@
 			return err
 		}
 	}
+	for i, entry := range found.Trail {
+		if err := b.Set(trailKey(i), entry, nil); err != nil {
+			return err
+		}
+	}
 	return b.Commit(pebble.Sync)
 }
 
+func trailKey(no int) []byte {
+	return binary.BigEndian.AppendUint64(bytes.Clone(trailPrefix), uint64(no))
+}
+
+// Note keeps an entry of the handlers' audit trail under its number, counted from 0.
+func (s *Store) Note(no int, entry []byte) error { return s.write([]op{{trailKey(no), entry}}) }
+
 // quiet keeps the library's word of routine out of the log. Its fatal errors must not end the process: the box goes
 // on with what needs no state.
 type quiet struct{ log *slog.Logger }
@@ -297,6 +310,10 @@
 	if err != nil {
 		return found, err
 	}
+	err = each(db, trailPrefix, func(_, v []byte) { found.Trail = append(found.Trail, bytes.Clone(v)) })
+	if err != nil {
+		return found, err
+	}
 	err = each(db, eventPrefix, func(_, v []byte) {
 		k, err := restored(v, now)
 		if err != nil {
--- a/front/http/session.go
+++ b/front/http/session.go
@@ -305,6 +305,10 @@
 		timing = w + ", " + timing
 	}
 	fields := []gateway.Field{{Name: "Server-Timing", Value: timing}}
+	if b := a.Binding; b.ID != "" { // which version it was, whatever became of it
+		fields[0].Value = fmt.Sprintf("%s, version;desc=%q", timing, b.Version)
+		fields = append(fields, gateway.Field{Name: "Docker-Content-Digest", Value: b.Digest})
+	}
 	if a.Repeat {
 		fields = append(fields, gateway.Field{Name: "Idempotent-Replayed", Value: "true"})
 	}
@@ -329,6 +333,8 @@
 		fields = append(fields, gateway.Field{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(a.Pause)))})
 	case a.Cause == gateway.TimeUp:
 		code = 504
+	case a.Cause == gateway.NoVersion:
+		code, detail = 422, fmt.Sprintf("The reference %.100q names no version that may run events of type %.100q.", a.FunctionID, a.EventType)
 	case a.Cause == gateway.Unknown: // never taken: the sender's fault
 		code, detail = 422, fmt.Sprintf("The configuration names no event type %.100q.", a.EventType)
 	}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -20,11 +20,13 @@
 type Settings struct {
 	Deployment   *control.Deployment
 	Functions    func(name string) Function
-	Margin       float64 // seconds before the client's time is up by which the answer leaves
-	OrderLimit   float64 // seconds after which a load order counts as unanswered
-	MostOpen     int     // events open at once
-	Remember     float64 // seconds for which final answers are kept for repeats
-	RememberMost int     // bytes that kept answers may hold; past it the oldest lose their bodies
+	Bind         func(ask *Ask) (Binding, Function, error) // nil, or a zero Binding: the function has no versions
+	MayRun       func(b Binding) bool                      // whether an earlier binding may still run
+	Margin       float64                                   // seconds before the client's time is up by which the answer leaves
+	OrderLimit   float64                                   // seconds after which a load order counts as unanswered
+	MostOpen     int                                       // events open at once
+	Remember     float64                                   // seconds for which final answers are kept for repeats
+	RememberMost int                                       // bytes that kept answers may hold; past it the oldest lose their bodies
 	Seed         uint64
 }
 
@@ -51,6 +53,8 @@
 type event struct {
 	id       control.EventID
 	ask      Ask
+	bound    Binding
+	fn       Function
 	kind     *control.EventType
 	askers   []asker
 	began    float64
@@ -60,6 +64,7 @@
 	ended    bool // for the decisions; while out is set it stays open here
 	mayRun   bool
 	runAt    float64
+	wrong    bool // a worker answered with another version
 	noted    bool // a note says that it may have run
 	steps    []Step
 	last     control.Result // how its newest launch ended
@@ -120,18 +125,19 @@
 	armed  uint64
 	clock  timers
 
-	events  map[control.EventID]*event
-	open    map[Identity]*event
-	asking  map[Asker]*event
-	flying  map[uint64]*launch
-	orders  map[uint64]*order
-	kept    map[Identity]*kept
-	age     []*kept // the same by time of their ending
-	bodies  []*kept // those that still hold a body, likewise
-	weight  int
-	stopped bool
-	count   Counts
-	traces  traces
+	events   map[control.EventID]*event
+	open     map[Identity]*event
+	asking   map[Asker]*event
+	flying   map[uint64]*launch
+	orders   map[uint64]*order
+	kept     map[Identity]*kept
+	age      []*kept            // the same by time of their ending
+	bindings map[string]Binding // by the decisions' id
+	bodies   []*kept            // those that still hold a body, likewise
+	weight   int
+	stopped  bool
+	count    Counts
+	traces   traces
 }
 
 // Counts are totals since the start.
@@ -146,7 +152,7 @@
 func New(set Settings, out Outside, now float64) *Core {
 	c := &Core{set: set, out: out, now: now, types: map[string]*control.EventType{},
 		events: map[control.EventID]*event{}, open: map[Identity]*event{}, asking: map[Asker]*event{},
-		flying: map[uint64]*launch{}, orders: map[uint64]*order{}, kept: map[Identity]*kept{}}
+		flying: map[uint64]*launch{}, orders: map[uint64]*order{}, kept: map[Identity]*kept{}, bindings: map[string]Binding{}}
 	for i := range set.Deployment.EventTypes {
 		t := &set.Deployment.EventTypes[i]
 		c.types[t.Name] = t
@@ -247,16 +253,51 @@
 		c.refuse(to, ask, Deferred, Overflow)
 		return
 	}
-	c.begin(&event{ask: ask, kind: kind, askers: []asker{{to, due}}, began: c.now, due: due})
+	e := &event{ask: ask, kind: kind, askers: []asker{{to, due}}, began: c.now, due: due}
+	if err := c.bind(e); err != nil {
+		c.refuse(to, ask, DeadLettered, NoVersion)
+		return
+	}
+	c.begin(e)
+}
+
+// bind settles what an event runs on. A repeat keeps the version of its earlier try, unless that must not run any
+// more.
+func (c *Core) bind(e *event) error {
+	e.fn = c.set.Functions(e.ask.Function)
+	if c.set.Bind == nil {
+		return nil
+	}
+	b, fn, err := c.set.Bind(&e.ask)
+	if k := c.kept[e.ask.Identity]; k != nil && k.answer.Binding.ID != "" && k.answer.Binding != b && c.set.MayRun(k.answer.Binding) {
+		b, err = k.answer.Binding, nil
+	}
+	if err != nil || b.ID == "" {
+		return err
+	}
+	e.bound, e.fn = b, fn
+	c.bindings[b.ID] = b
+	return nil
+}
+
+// function is the event's function as the decisions know it.
+func (e *event) function() string {
+	if e.bound.ID != "" {
+		return e.bound.ID
+	}
+	return e.ask.Function
 }
 
 // Ahead has a copy of a function loaded that will be asked for soon, if the decisions find that none stands and that
 // the ration of load orders leaves room. It tells whether an order went out.
 func (c *Core) Ahead(now float64, eventType, function string) bool {
 	c.at(now)
-	fn := c.set.Functions(function)
-	return c.router.Ahead(c.now, control.Event{Type: eventType, Function: control.FunctionID(function), Lanes: fn.Lanes,
-		Memory: fn.Memory, Load: fn.Load})
+	e := &event{ask: Ask{Type: eventType, Function: function}}
+	if c.bind(e) != nil {
+		return false
+	}
+	return c.router.Ahead(c.now, control.Event{Type: eventType, Function: control.FunctionID(e.function()), Lanes: e.fn.Lanes,
+		Memory: e.fn.Memory, Load: e.fn.Load})
 }
 
 // again tells whether a repeat must be answered from what is kept. Only a deferral lets an event run again, and of
@@ -299,11 +340,10 @@
 		}
 	}
 	c.count.Taken++
-	c.step(e, "taken", "", c.belief(e.ask.Function))
-	fn := c.set.Functions(e.ask.Function)
+	c.step(e, "taken", "", c.belief(e.function()))
 	c.router.Event(c.now, control.Event{ID: e.id, Type: e.ask.Type, Tenant: control.TenantID(e.ask.Tenant),
-		Function: control.FunctionID(e.ask.Function), Left: max(e.due-c.now, 0), Lanes: fn.Lanes,
-		Memory: fn.Memory, Load: fn.Load, Repeated: e.ask.Repeated})
+		Function: control.FunctionID(e.function()), Left: max(e.due-c.now, 0), Lanes: e.fn.Lanes,
+		Memory: e.fn.Memory, Load: e.fn.Load, Repeated: e.ask.Repeated})
 }
 
 func (c *Core) join(e *event, a asker) {
@@ -377,6 +417,9 @@
 func (c *Core) end(l *launch, r Reply) {
 	e := l.evt
 	delete(c.flying, l.job)
+	if r.Result == control.Handled && e.bound.ID != "" && r.Digest != e.bound.Digest {
+		r.Result, e.wrong = control.Failed, true // whatever ran, it was not what was asked for
+	}
 	e.out, e.last, e.warmth, e.lastWk = nil, r.Result, r.Warmth, l.wk
 	c.step(e, results[r.Result], string(l.wk), warmths[r.Warmth])
 	if r.Result < control.TurnedAway && !e.mayRun {
@@ -402,7 +445,7 @@
 	if len(back) > 0 && safe && !c.stopped {
 		c.unlink(e)
 		first := back[0]
-		again := &event{ask: e.ask, kind: e.kind, askers: back, began: c.now, due: first.due}
+		again := &event{ask: e.ask, bound: e.bound, fn: e.fn, kind: e.kind, askers: back, began: c.now, due: first.due}
 		for _, a := range back {
 			again.due = min(again.due, a.due)
 		}
@@ -466,7 +509,7 @@
 func (c *Core) describe(e *event, kind Kind, why Cause) Answer {
 	return Answer{Kind: kind, Cause: why, Worker: string(e.lastWk), Warmth: e.warmth, Launches: e.launches,
 		Identity: e.ask.Identity, After: c.now - e.began, EventType: e.ask.Type, FunctionID: e.ask.Function,
-		Tenant: e.ask.Tenant}
+		Tenant: e.ask.Tenant, Binding: e.bound}
 }
 
 func (c *Core) why(e *event) Cause {
@@ -478,6 +521,9 @@
 	}
 	switch e.last {
 	case control.Failed:
+		if e.wrong {
+			return WrongDigest
+		}
 		return WorkerFailed
 	case control.Broken, control.Cancelled:
 		return WorkerBroke
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -21,16 +21,16 @@
 	firm := e.kind.Repeat != control.Redeliverable
 	if firm {
 		n := Note{Kind: NoteLaunched, Answer: Answer{Identity: e.ask.Identity, EventType: e.ask.Type,
-			FunctionID: e.ask.Function, Tenant: e.ask.Tenant}, MayRun: true}
+			FunctionID: e.ask.Function, Tenant: e.ask.Tenant, Binding: e.bound}, MayRun: true}
 		if e.mayRun {
 			n.RanAgo = c.now - e.runAt
 		}
 		e.noted = true
 		c.out.Keep(n)
 	}
-	c.step(e, "launched", string(wk), c.belief(e.ask.Function))
+	c.step(e, "launched", string(wk), c.belief(e.function()))
 	c.out.Launch(Launch{Job: l.job, Worker: wk, Function: e.ask.Function, Attempt: l.number, Limit: limit,
-		Identity: e.ask.Identity, Fields: e.ask.Fields, Body: e.ask.Body, Firm: firm})
+		Identity: e.ask.Identity, Fields: e.ask.Fields, Body: e.ask.Body, Binding: e.bound, Firm: firm})
 }
 
 func (h *host) Defer(id control.EventID, pause float64) {
@@ -59,7 +59,7 @@
 	c.count.Orders++
 	c.arm(c.set.OrderLimit, orderDue, c.next, nil)
 	c.ordered(string(fn), string(wk), "load ordered", "")
-	c.out.Load(Order{Job: c.next, Worker: wk, Function: string(fn), Copies: copies})
+	c.out.Load(Order{Job: c.next, Worker: wk, Function: string(fn), Copies: copies, Binding: c.bindings[string(fn)]})
 }
 
 func (h *host) Tell(message []byte) { h.core().out.Tell(message) }
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -73,7 +73,7 @@
 func (c *Core) trace(e *event) *Trace {
 	return &Trace{Identity: e.ask.Identity, Type: e.ask.Type, Function: e.ask.Function, Tenant: e.ask.Tenant, Began: e.began,
 		Left: e.due - c.now, Open: true, Askers: len(e.askers), Steps: e.steps,
-		Answer: Answer{Launches: e.launches, Worker: string(e.lastWk)}}
+		Answer: Answer{Launches: e.launches, Worker: string(e.lastWk), Binding: e.bound}}
 }
 
 // Explain is the way of an event, with the load orders of its function while it was open; the newest where its
@@ -101,7 +101,7 @@
 	}
 	t.Steps = slices.Clone(t.Steps)
 	for _, o := range c.traces.orders {
-		if o.function == t.Function && o.at >= t.Began && o.at <= end {
+		if (o.function == t.Function || o.function == t.Answer.Binding.ID) && o.at >= t.Began && o.at <= end {
 			s := o.step
 			s.At = o.at - t.Began
 			t.Steps = append(t.Steps, s)
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -29,6 +29,15 @@
 	Repeated bool // the client marks it as a repeat
 }
 
+// Binding is the version of a function that an event runs on, settled once when it is taken. The zero Binding means
+// a function without versions.
+type Binding struct {
+	ID       string // of the function for the decisions: each version is one of its own
+	Version  string
+	Digest   string
+	Function string
+}
+
 // Kind is how an event ended for its client.
 type Kind uint8
 
@@ -56,7 +65,8 @@
 	EventType  string
 	FunctionID string
 	Tenant     string
-	Firm       bool // must not leave before the note of it is kept
+	Binding    Binding // zero where the function has no versions
+	Firm       bool    // must not leave before the note of it is kept
 }
 
 // Cause tells why an event ended so.
@@ -77,10 +87,12 @@
 	Overflow           // more events are open than the front end may hold
 	Restarted          // it may have run before the front end started anew
 	NotKept            // what must outlive the process can't be written
+	NoVersion          // the function's reference names no version that may run
+	WrongDigest        // the worker answered with another version than the one it was asked for
 )
 
 var causes = [...]string{"answered", "no-room", "time-up", "worker-failed", "worker-broke", "worker-gone",
-	"worker-full", "load-failed", "forgotten", "stopping", "unknown-type", "overflow", "restarted", "not-kept"}
+	"worker-full", "load-failed", "forgotten", "stopping", "unknown-type", "overflow", "restarted", "not-kept", "no-version", "wrong-digest"}
 
 func (c Cause) String() string { return causes[c] }
 
@@ -94,6 +106,7 @@
 	Identity Identity
 	Fields   []Field
 	Body     []byte
+	Binding  Binding
 	Firm     bool // must not leave before the note of it is kept
 }
 
@@ -149,6 +162,7 @@
 	Worker   control.WorkerID
 	Function string
 	Copies   int
+	Binding  Binding
 }
 
 // Reply is how a launch ended at its worker.
@@ -156,6 +170,7 @@
 	Result control.Result
 	Warmth control.Warmth
 	Report control.Report
+	Digest string // of the copy that ran it, as the worker proved it; "" where it says nothing
 	Fields []Field
 	Body   []byte
 }
--- a/referee/judge.go
+++ b/referee/judge.go
@@ -43,7 +43,8 @@
 	AfterDrain   int      `json:"after_drain"`      // rule 3
 	ColdPushed   int      `json:"cold_pushed"`      // rule 4
 	Flooded      int      `json:"load_floods"`      // rule 5
-	Broken       int      `json:"rules_broken"`     // of five
+	Versions     int      `json:"wrong_versions"`   // ran on, or was answered in the name of, another version than asked for
+	Broken       int      `json:"rules_broken"`     // of five, and the promise of versions
 	Faults       []string `json:"faults,omitempty"` // the first of each kind
 }
 
@@ -69,9 +70,10 @@
 	j.drains(records)
 	j.cold(records)
 	j.loads(records)
+	j.versions(records)
 	v := j.v
 	for _, broken := range []bool{v.Unanswered+v.Twice+v.AfterEnd > 0, v.AtOnce+v.RanTwice+v.BadDeferral > 0,
-		v.AfterDrain > 0, v.ColdPushed > 0, v.Flooded > 0} {
+		v.AfterDrain > 0, v.ColdPushed > 0, v.Flooded > 0, v.Versions > 0} {
 		if broken {
 			v.Broken++
 		}
@@ -277,6 +279,30 @@
 	}
 }
 
+// versions is no rule of the brief, but what answers promise: an event runs only on the version that it was launched
+// for, and its answer names the version that ran it.
+func (j *judge) versions(records []Record) {
+	asked, ran := map[uint64]string{}, map[string]map[string]bool{}
+	for _, r := range records {
+		switch r.Kind {
+		case Launched:
+			asked[r.Call] = r.Digest
+		case Ran:
+			if r.Digest != asked[r.Call] {
+				j.fault(&j.v.Versions, "version", "%s asked %s for %s and ran on %s", r.Event, r.Worker, asked[r.Call], r.Digest)
+			}
+			if ran[r.Event] == nil {
+				ran[r.Event] = map[string]bool{}
+			}
+			ran[r.Event][r.Digest] = true
+		case Answered:
+			if r.Outcome == Handled && len(ran[r.Event]) > 0 && !ran[r.Event][r.Digest] {
+				j.fault(&j.v.Versions, "version", "%s was answered in the name of %q, which did not run it", r.Event, r.Digest)
+			}
+		}
+	}
+}
+
 // loads is rule 5, for each front end by itself.
 func (j *judge) loads(records []Record) {
 	ordered, taken := map[string][]float64{}, map[string][]float64{}
--- a/referee/record.go
+++ b/referee/record.go
@@ -52,6 +52,7 @@
 	Phase    string  `json:"phase,omitempty"`
 	Born     float64 `json:"born,omitempty"`
 	Copies   int     `json:"copies,omitempty"`
+	Digest   string  `json:"digest,omitempty"` // of the version: asked for (Launched), run (Ran), told to the client (Answered)
 }
 
 // Tape collects records from many goroutines in the order they were made.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -44,7 +44,7 @@
 
 // Fault is what goes wrong with a worker, for a while or until it is lifted.
 type Fault struct {
-	Kind  string  `json:"kind"` // hang, lose, errors, slow, stall, reset, cut, late-reports
+	Kind  string  `json:"kind"` // hang, lose, errors, slow, stall, reset, cut, late-reports, wrong-digest, liar
 	For   float64 `json:"for"`  // seconds; 0: until lifted
 	Part  float64 `json:"part"` // share of the events that it meets; 0: all
 	Times float64 `json:"times"`
@@ -52,10 +52,11 @@
 }
 
 var faultKinds = map[string]bool{"hang": true, "lose": true, "errors": true, "slow": true, "stall": true,
-	"reset": true, "cut": true, "late-reports": true}
+	"reset": true, "cut": true, "late-reports": true, "wrong-digest": true, "liar": true}
 
 type copies struct {
 	fn       *Function
+	digest   string // of the version that the copies are, "" for a function without
 	standing int
 	loading  int
 	busy     int
@@ -285,8 +286,9 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 	id := decoded(r.Header.Get("Ce-Source")) + "#" + decoded(r.Header.Get("Ce-Id"))
 	kind := decoded(r.Header.Get("Ce-Type"))
+	asked := strings.Trim(r.Header.Get("If-Match"), `"`)
 	rec := referee.Record{Worker: w.spec.Name, Event: id, Type: kind, Function: r.PathValue("f"), Front: front(r),
-		Call: w.spec.Tape.Call()}
+		Call: w.spec.Tape.Call(), Digest: asked}
 	note := func(k referee.Kind, status int) {
 		rec.Kind, rec.Status = k, status
 		w.spec.Tape.Add(rec)
@@ -335,7 +337,7 @@
 		w.say(rw, 500, "", map[string]any{"error": "the function failed"})
 		return
 	}
-	t, refusal := w.enqueue(r.PathValue("f"))
+	t, refusal := w.enqueue(r.PathValue("f"), asked)
 	stop := w.stop
 	w.mu.Unlock()
 	if t == nil {
@@ -358,6 +360,7 @@
 	}
 	first := !w.spec.Keyed[kind] || w.spec.Drops == nil || w.spec.Drops.First(id)
 	if first {
+		rec.Digest = t.c.digest
 		note(referee.Ran, 0)
 	}
 	w.mu.Lock()
@@ -392,6 +395,7 @@
 		sever(rw, []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 400\r\n\r\n{\"a\":1}")[:min(cut.Bytes, 70)])
 	default:
 		status = 200
+		w.prove(rw, t.c.digest)
 		answer := map[string]any{"model_name": t.c.fn.Name, "id": decoded(r.Header.Get("Ce-Id")), "outputs": []any{}}
 		if !first {
 			answer["parameters"] = map[string]any{"repeat": true}
@@ -403,6 +407,39 @@
 	}
 }
 
+// prove tells which version's copy ran or stands. A liar tells another.
+func (w *Worker) prove(rw http.ResponseWriter, digest string) {
+	if digest == "" {
+		return
+	}
+	w.mu.Lock()
+	if _, on := w.active("liar"); on {
+		digest = digest[:len(digest)-4] + "0000"
+	}
+	w.mu.Unlock()
+	rw.Header().Set("Docker-Content-Digest", digest)
+}
+
+// find is where a version's copies are counted; other is another version of the function that stands.
+func (w *Worker) find(name, digest string) (c, other *copies) {
+	base := w.byName[name]
+	if base == nil || digest == "" {
+		return base, nil
+	}
+	c = w.byName[name+"@"+digest]
+	if c == nil {
+		c = &copies{fn: base.fn, digest: digest}
+		w.byName[name+"@"+digest] = c
+		w.order = append(w.order, c)
+	}
+	for _, o := range w.order {
+		if o != c && o.fn == base.fn && o.standing > 0 {
+			other = o
+		}
+	}
+	return c, other
+}
+
 // abort breaks the connection; a handler that just returned would have answered 200.
 func abort() { panic(http.ErrAbortHandler) }
 
@@ -449,11 +486,14 @@
 }
 
 // enqueue puts an event in line, or tells the status that turns it away.
-func (w *Worker) enqueue(name string) (*task, int) {
-	c := w.byName[name]
+func (w *Worker) enqueue(name, digest string) (*task, int) {
+	c, other := w.find(name, digest)
 	if c == nil {
 		return nil, 404
 	}
+	if c.standing+c.loading == 0 && other != nil && !w.spec.LoadsOnEvent {
+		return nil, 412 // it holds another version, which must not run this
+	}
 	t := &task{c: c, warmth: "warm", start: make(chan string, 1)}
 	if c.standing == 0 {
 		t.warmth = "joined"
@@ -552,6 +592,11 @@
 		if !image {
 			err = w.spec.Store.Fetch(c.fn.Fetch, stop)
 		}
+		w.mu.Lock()
+		if _, on := w.active("wrong-digest"); on && c.digest != "" && err == nil {
+			err = errors.New("what was fetched has another digest") // it is thrown away, and never runs
+		}
+		w.mu.Unlock()
 		if err == nil {
 			select {
 			case <-time.After(seconds(c.fn.Begin)):
@@ -606,7 +651,8 @@
 func (w *Worker) load(rw http.ResponseWriter, r *http.Request) {
 	var said struct {
 		Parameters struct {
-			Copies int `json:"copies"`
+			Copies int    `json:"copies"`
+			Digest string `json:"digest"`
 		} `json:"parameters"`
 	}
 	said.Parameters.Copies = 1
@@ -615,7 +661,7 @@
 	w.spec.Tape.Add(referee.Record{Kind: referee.Ordered, Worker: w.spec.Name, Front: front(r),
 		Function: r.PathValue("f"), Copies: want})
 	w.mu.Lock()
-	c := w.byName[r.PathValue("f")]
+	c, _ := w.find(r.PathValue("f"), said.Parameters.Digest)
 	if c == nil {
 		w.mu.Unlock()
 		w.say(rw, 404, "", map[string]any{"error": "no such function"})
@@ -645,6 +691,7 @@
 		w.mu.Unlock()
 		if standing >= want || loading == 0 {
 			if standing > 0 {
+				w.prove(rw, c.digest)
 				w.say(rw, 200, "", map[string]any{"parameters": map[string]any{"copies": standing}})
 			} else {
 				w.say(rw, 500, "", map[string]any{"error": "the load failed"})
@@ -663,8 +710,10 @@
 
 func (w *Worker) unload(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	if c := w.byName[r.PathValue("f")]; c != nil && c.busy == 0 {
-		c.standing = 0
+	for _, c := range w.order {
+		if c.fn.Name == r.PathValue("f") && c.busy == 0 {
+			c.standing = 0
+		}
 	}
 	w.mu.Unlock()
 	w.say(rw, 200, "", map[string]any{})
--- a/workers/oip.go
+++ b/workers/oip.go
@@ -33,10 +33,15 @@
 
 // Infer writes a launch: POST /v2/models/{function}/infer, the event's content passed through with its context
 // attributes as ce- fields. Request-Timeout tells the seconds after which nobody waits any more; via names the front
-// end (RFC 9110 7.6.3).
+// end (RFC 9110 7.6.3). A version is asked for by its name in the path and by its digest in If-Match: a worker that
+// holds another one under that name answers 412 and runs nothing.
 func Infer(addr, via string, l gateway.Launch) []byte {
 	fields := append([]gateway.Field{{Name: "Request-Timeout", Value: strconv.FormatFloat(l.Limit, 'f', 3, 64)}},
 		l.Fields...)
+	if b := l.Binding; b.ID != "" {
+		fields = append(fields, gateway.Field{Name: "If-Match", Value: `"` + b.Digest + `"`})
+		return request("/v2/models/"+url.PathEscape(b.Function)+"/versions/"+url.PathEscape(b.Version)+"/infer", addr, via, fields, l.Body)
+	}
 	return request("/v2/models/"+url.PathEscape(l.Function)+"/infer", addr, via, fields, l.Body)
 }
 
@@ -44,21 +49,30 @@
 // lets idle copies go.
 func Load(addr, via string, o gateway.Order) []byte {
 	if o.Copies == 0 {
-		return request("/v2/repository/models/"+url.PathEscape(o.Function)+"/unload", addr, via, nil, nil)
+		name, _, _ := strings.Cut(o.Function, "@")
+		return request("/v2/repository/models/"+url.PathEscape(name)+"/unload", addr, via, nil, nil)
+	}
+	parameters, name := map[string]any{"copies": o.Copies}, o.Function
+	if b := o.Binding; b.ID != "" {
+		parameters["version"], parameters["digest"], name = b.Version, b.Digest, b.Function
 	}
-	body, _ := json.Marshal(map[string]any{"parameters": map[string]any{"copies": o.Copies}})
-	return request("/v2/repository/models/"+url.PathEscape(o.Function)+"/load", addr, via,
+	body, _ := json.Marshal(map[string]any{"parameters": parameters})
+	return request("/v2/repository/models/"+url.PathEscape(name)+"/load", addr, via,
 		[]gateway.Field{{Name: "Content-Type", Value: "application/json"}}, body)
 }
 
+const digestField = "Docker-Content-Digest"
+
 // passed names what of a worker's answer goes on to the client beside ce- fields.
 var passed = []string{"Content-Type", "Content-Encoding", "Content-Language"}
 
-// Answer reads how a launch ended. 2xx handled it. 404 tells that the function is not loaded there, 429 and 503
-// that the worker turned it away: of these three a worker promises that the event never ran. Else it may have.
+// Answer reads how a launch ended. 2xx handled it. 404 tells that the function is not loaded there, 412 that another
+// version is, 429 and 503 that the worker turned it away: of these a worker promises that the event never ran. Else
+// it may have. Docker-Content-Digest proves which copy ran (OCI distribution specification).
 func Answer(m *h1.Message) gateway.Reply {
 	r := gateway.Reply{Report: report(m.Header.Get("Endpoint-Load-Metrics")),
-		Warmth: warmth(strings.Join(m.Header.Values("Server-Timing"), ","))}
+		Warmth: warmth(strings.Join(m.Header.Values("Server-Timing"), ",")),
+		Digest: m.Header.Get(digestField)}
 	switch {
 	case m.Status >= 200 && m.Status < 300:
 		r.Result, r.Body = control.Handled, m.Body
@@ -67,7 +81,7 @@
 				r.Fields = append(r.Fields, gateway.Field{Name: name, Value: v})
 			}
 		}
-	case m.Status == 404:
+	case m.Status == 404 || m.Status == 412:
 		r.Result = control.Missed
 	case m.Status == 429 || m.Status == 503:
 		r.Result = control.TurnedAway
@@ -77,9 +91,12 @@
 	return r
 }
 
-// Stand reads how a load order ended and how many copies stand.
-func Stand(m *h1.Message) (control.Result, int) {
+// Stand reads how a load order ended and how many copies stand. Where a digest was asked for, copies of another one,
+// or of none that is proven, don't count.
+func Stand(m *h1.Message, digest string) (control.Result, int) {
 	switch {
+	case m.Status >= 200 && m.Status < 300 && digest != "" && m.Header.Get(digestField) != digest:
+		return control.Failed, 0
 	case m.Status >= 200 && m.Status < 300:
 		var said struct {
 			Parameters struct {
--- a/workers/pool.go
+++ b/workers/pool.go
@@ -37,12 +37,13 @@
 }
 
 type job struct {
-	no   uint64
-	wk   control.WorkerID
-	data []byte
-	load bool
-	conn *conn
-	sent bool // bytes of it may have reached the worker
+	no     uint64
+	wk     control.WorkerID
+	data   []byte
+	load   bool
+	digest string // that a load order asks for
+	conn   *conn
+	sent   bool // bytes of it may have reached the worker
 }
 
 type conn struct {
@@ -125,7 +126,7 @@
 
 // Load sends a load order likewise.
 func (p *Pool) Load(now float64, o gateway.Order) {
-	p.send(now, &job{no: o.Job, wk: o.Worker, data: Load(p.addr[o.Worker], p.limits.Via, o), load: true})
+	p.send(now, &job{no: o.Job, wk: o.Worker, data: Load(p.addr[o.Worker], p.limits.Via, o), load: true, digest: o.Binding.Digest})
 }
 
 func (p *Pool) send(now float64, j *job) {
@@ -267,7 +268,7 @@
 		p.end(j, gateway.Reply{Result: control.Broken})
 	case j.load:
 		delete(p.jobs, j.no)
-		res, copies := Stand(m)
+		res, copies := Stand(m, j.digest)
 		p.sink.Loaded(j.no, res, copies)
 	default:
 		p.end(j, Answer(m))
--- a/workers/workers_test.go
+++ b/workers/workers_test.go
@@ -52,10 +52,10 @@
 		}
 	}
 	body := `{"parameters":{"copies":3}}`
-	if res, n := Stand(response(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))); res != control.Handled || n != 3 {
+	if res, n := Stand(response(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)), ""); res != control.Handled || n != 3 {
 		t.Error(res, n)
 	}
-	if res, n := Stand(response(t, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")); res != control.TurnedAway || n != 0 {
+	if res, n := Stand(response(t, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), ""); res != control.TurnedAway || n != 0 {
 		t.Error(res, n)
 	}
 }
