Alias moves under load, wrong digests, a rollout over a restart, on running boxes

Need: every answer has to name the version that ran, and a mismatched copy must never run or be answered.

Change: tests with a box, stand-in workers that load, prove and lie about versions, and the referee; the timer client tells which digest an answer names.

--- a/appliance/box_test.go
+++ b/appliance/box_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"streamcleat/config"
+	"streamcleat/referee"
 	"streamcleat/standin"
 	"streamcleat/timers"
 )
@@ -50,18 +51,23 @@
 }
 
 func newRunning(t *testing.T, n int, crontab string) *running {
+	return newRunningWith(t, n, crontab, nil)
+}
+
+func newRunningWith(t *testing.T, n int, crontab string, tape *referee.Tape) *running {
 	r := &running{t: t, dir: t.TempDir()}
 	fns := []standin.Function{{Name: "tally", Memory: 100, Lanes: 4, Fetch: 0.02, Begin: 0.01, Work: 0.03}}
 	for i := range n {
 		w, err := standin.NewWorker(standin.Spec{Name: fmt.Sprintf("wk-%d", i), Cores: 4, Speed: 1, Memory: 1000, Queue: 50, LoadsAtOnce: 4,
-			Keep: 20, Functions: fns, Store: standin.NewStore(8, 32), MeanWork: 0.03, Seed: uint64(i)})
+			Keep: 20, Functions: fns, Store: standin.NewStore(8, 32), MeanWork: 0.03, Seed: uint64(i),
+			Tape: tape})
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(w.Close)
 		r.workers = append(r.workers, w)
 	}
-	if _, err := standin.NewList(filepath.Join(r.dir, "workers.json"), nil, r.workers); err != nil {
+	if _, err := standin.NewList(filepath.Join(r.dir, "workers.json"), tape, r.workers); err != nil {
 		t.Fatal(err)
 	}
 	if err := os.WriteFile(filepath.Join(r.dir, "crontab"), []byte(crontab), 0o644); err != nil {
@@ -117,15 +123,20 @@
 
 func (r *running) status() (s Status) {
 	r.t.Helper()
-	resp, err := r.http.Get("http://box/v1/status")
+	r.get("status", &s)
+	return
+}
+
+func (r *running) get(what string, to any) {
+	r.t.Helper()
+	resp, err := r.http.Get("http://box/v1/" + what)
 	if err != nil {
 		r.t.Fatal(err)
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+	if err := json.NewDecoder(resp.Body).Decode(to); err != nil {
 		r.t.Fatal(err)
 	}
-	return
 }
 
 func (r *running) order(text string) (int, string) {
@@ -267,15 +278,8 @@
 	r := newRunning(t, 1, "0 0 1 1 * again tally\n")
 	r.start()
 	entries := func() int {
-		resp, err := r.http.Get("http://box/v1/timers")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer resp.Body.Close()
 		var list []Timer
-		if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
-			t.Fatal(err)
-		}
+		r.get("timers", &list)
 		return len(list)
 	}
 	write := func(tab string) {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -44,15 +44,17 @@
 
 // Fault is what goes wrong with a worker, for a while or until it is lifted.
 type Fault struct {
-	Kind  string  `json:"kind"` // hang, lose, errors, slow, stall, reset, cut, late-reports, wrong-digest, liar
-	For   float64 `json:"for"`  // seconds; 0: until lifted
-	Part  float64 `json:"part"` // share of the events that it meets; 0: all
-	Times float64 `json:"times"`
-	Bytes int     `json:"bytes"` // of the answer that are sent before a cut
+	Kind   string  `json:"kind"` // hang, lose, errors, slow, stall, reset, cut, late-reports, wrong-digest, liar, errors-of
+	For    float64 `json:"for"`  // seconds; 0: until lifted
+	Part   float64 `json:"part"` // share of the events that it meets; 0: all
+	Times  float64 `json:"times"`
+	Bytes  int     `json:"bytes"`  // of the answer that are sent before a cut
+	Digest string  `json:"digest"` // version that fails
 }
 
 var faultKinds = map[string]bool{"hang": true, "lose": true, "errors": true, "slow": true, "stall": true,
-	"reset": true, "cut": true, "late-reports": true, "wrong-digest": true, "liar": true}
+	"reset": true, "cut": true, "late-reports": true, "wrong-digest": true, "liar": true,
+	"errors-of": true}
 
 type copies struct {
 	fn       *Function
@@ -331,7 +333,9 @@
 		sever(rw, nil)
 		return
 	}
-	if _, on := w.active("errors"); on {
+	f, on := w.active("errors-of")
+	on = on && f.Digest == asked
+	if _, all := w.active("errors"); all || on {
 		w.mu.Unlock()
 		status = 500
 		w.say(rw, 500, "", map[string]any{"error": "the function failed"})
--- a/timers/client.go
+++ b/timers/client.go
@@ -23,7 +23,7 @@
 	Firing
 	Front  string
 	Status int
-	Worker string
+	Digest string // of the version that the answer names
 	Took   time.Duration
 	Tries  int
 	Err    error
@@ -137,7 +137,7 @@
 }
 
 func (c *Client) try(ctx context.Context, out *Outcome, left time.Duration) (reached bool) {
-	out.Status, out.Err, out.Pause, out.Worker = 0, nil, 0, ""
+	out.Status, out.Err, out.Pause, out.Digest = 0, nil, 0, ""
 	e := Event(c.Source, out.Firing)
 	if out.Tries > 1 {
 		e.SetExtension("repeat", "true")
@@ -159,6 +159,7 @@
 		return true
 	}
 	out.Status = resp.StatusCode
+	out.Digest = resp.Header.Get("Docker-Content-Digest")
 	out.Replay = resp.Header.Get("Idempotent-Replayed") != ""
 	if n, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 		out.Pause = time.Duration(n) * time.Second
