--- a/appliance/box.go
+++ b/appliance/box.go
@@ -390,6 +390,27 @@
 	return nil
 }
 
+// prepare has copies of versions that a rollout is going to loaded ahead, within the ration, so that the first event
+// of the new version does not wait for its load. The old copies stay until nobody asks for them.
+func (b *Box) prepare(until time.Time) error {
+	orders := 0
+	for _, v := range b.reg.coming() {
+		for _, f := range b.serving() {
+			ordered, err := f.Ahead("", v)
+			if err != nil {
+				return err
+			}
+			if ordered {
+				orders++
+			}
+			if orders >= aheadOrders || time.Now().After(until) {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
 // loadAhead has functions loaded whose timers are due before a loaded copy would lapse again.
 func (b *Box) loadAhead(until time.Time) error {
 	b.mu.Lock()
@@ -607,7 +628,9 @@
 	case "crontab":
 		err = b.rereadTimers()
 	case "rollouts":
-		err = b.reg.judge(b.log)
+		if err = b.reg.judge(b.log); err == nil {
+			err = b.prepare(at.Add(time.Duration(budget * float64(time.Second))))
+		}
 	case "tick":
 		err = b.store.Tick()
 	case "expiry":
--- a/appliance/registry.go
+++ b/appliance/registry.go
@@ -124,6 +124,18 @@
 	return append([]handlers.View{}, g.reg.List()...)
 }
 
+// coming are the versions that rollouts are going to, as references.
+func (g *registry) coming() (list []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, f := range g.reg.List() {
+		for _, ro := range f.Rollouts {
+			list = append(list, ro.Function+"@"+string(ro.To))
+		}
+	}
+	return list
+}
+
 func (g *registry) trail() []handlers.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/handlers/registry.go
+++ b/handlers/registry.go
@@ -325,7 +325,7 @@
 // never stands for the new.
 func (b Bound) ID() string { return b.Function + "@" + string(b.Digest) }
 
-// Bind settles the version of an event. tenant and event choose the side of a rollout; the same event always gets
+// Bind settles the version of an event; an empty event type is any. tenant and event choose the side of a rollout; the same event always gets
 // the same side at the same share, and an event that got the new side keeps it as the share grows.
 func (r *Registry) Bind(text, eventType, tenant, event string) (Bound, error) {
 	ref, err := ParseRef(text)
@@ -357,7 +357,7 @@
 	if err != nil {
 		return Bound{}, err
 	}
-	if len(v.Types) > 0 && !slices.Contains(v.Types, eventType) {
+	if len(v.Types) > 0 && eventType != "" && !slices.Contains(v.Types, eventType) {
 		return Bound{}, fmt.Errorf("%s:%s takes %s, not %s", v.Function, v.Name, strings.Join(v.Types, ", "), eventType)
 	}
 	b.Version = *v
