--- a/cmd/streamcleat/handler.go
+++ b/cmd/streamcleat/handler.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/opencontainers/go-digest"
 	"github.com/spf13/cobra"
@@ -11,12 +13,13 @@
 	"streamcleat/appliance"
 	"streamcleat/console"
 	"streamcleat/handlers"
+	"streamcleat/handlers/source"
 )
 
 // handlerCommand holds what is done to the registry of functions.
 func handlerCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "handler", Short: "Versions of functions, the aliases that name them, and rollouts"}
-	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerBack(), handlerWithdraw(), handlerVerify(),
+	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerBack(), handlerWithdraw(), handlerVerify(), handlerPull(),
 		registryTable("list", "Functions with their versions and aliases", func(c *console.Client) (any, [][]string, error) {
 			var list []handlers.View
 			err := c.Get("registry", &list)
@@ -99,11 +102,13 @@
 
 func handlerPublish() *cobra.Command {
 	var v handlers.Version
-	var sum, file string
+	var sum, file, from, user string
 	cmd := &cobra.Command{Use: "publish FUNCTION:VERSION", Short: "Add a version; versions never change", Args: cobra.ExactArgs(1)}
 	f := cmd.Flags()
 	f.StringVar(&sum, "digest", "", "sha256:... of its manifest")
 	f.StringVar(&file, "file", "", "manifest whose digest it is, in place of --digest")
+	f.StringVar(&from, "from", "", "OCI registry, http(s)://host[/path], that has FUNCTION:VERSION; digest and figures come from there")
+	f.StringVar(&user, "user", "", "user at the registry; STREAMCLEAT_REGISTRY_SECRET holds the secret")
 	f.IntVar(&v.Lanes, "lanes", 0, "events that a copy runs at a time")
 	f.Float64Var(&v.Memory, "memory", 0, "MB of one copy")
 	f.Float64Var(&v.Load, "load", 0, "usual seconds of a load")
@@ -113,6 +118,13 @@
 		if !ok {
 			return appliance.Change{}, exit{2, fmt.Errorf("%q is not FUNCTION:VERSION", args[0])}
 		}
+		if from != "" {
+			found, err := resolve(from, user, name, version)
+			if err != nil {
+				return appliance.Change{}, err
+			}
+			return appliance.Change{Entry: handlers.Entry{Publish: &found}}, nil
+		}
 		v.Function, v.Name, v.Digest = name, version, digest.Digest(sum)
 		if file != "" {
 			data, err := os.ReadFile(file)
@@ -125,6 +137,60 @@
 	})
 }
 
+// resolve asks an OCI registry for a version; what it reads on the way is not kept.
+func resolve(from, user, function, tag string) (v handlers.Version, err error) {
+	dir, err := os.MkdirTemp("", "handler")
+	if err != nil {
+		return v, err
+	}
+	defer os.RemoveAll(dir)
+	folder, err := source.OpenFolder(dir, 64<<20)
+	if err != nil {
+		return v, err
+	}
+	c, err := source.NewClient(from, user, os.Getenv("STREAMCLEAT_REGISTRY_SECRET"), folder)
+	if err != nil {
+		return v, exit{2, err}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	return c.Resolve(ctx, function, tag)
+}
+
+// handlerPull fetches a version's content into a folder, for workers that load from there.
+func handlerPull() *cobra.Command {
+	var from, user, dir string
+	var most int64
+	cmd := &cobra.Command{Use: "pull FUNCTION@DIGEST", Short: "Fetch a version's content into a folder, each layer once, checked by digest", Args: cobra.ExactArgs(1)}
+	f := cmd.Flags()
+	f.StringVar(&from, "from", "", "OCI registry, http(s)://host[/path]")
+	f.StringVar(&user, "user", "", "user at the registry; STREAMCLEAT_REGISTRY_SECRET holds the secret")
+	f.StringVar(&dir, "folder", "handlers", "folder for content, by digest")
+	f.Int64Var(&most, "most", 4096, "MB that the folder may hold; the longest unused goes first")
+	cmd.MarkFlagRequired("from")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		ref, err := handlers.ParseRef(args[0])
+		if err != nil || ref.Digest == "" {
+			return exit{2, fmt.Errorf("%q is not FUNCTION@DIGEST", args[0])}
+		}
+		folder, err := source.OpenFolder(dir, most<<20)
+		if err != nil {
+			return err
+		}
+		c, err := source.NewClient(from, user, os.Getenv("STREAMCLEAT_REGISTRY_SECRET"), folder)
+		if err != nil {
+			return exit{2, err}
+		}
+		held, err := c.Pull(cmd.Context(), ref.Function, ref.Digest)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s: %d pieces held, %d bytes of layers fetched\n", args[0], len(held), c.Fetched)
+		return nil
+	}
+	return cmd
+}
+
 func handlerAlias() *cobra.Command {
 	var remove bool
 	cmd := &cobra.Command{Use: "alias FUNCTION:ALIAS [VERSION]", Short: "Make an alias name a version at once", Args: cobra.RangeArgs(1, 2)}
