Paced releases: a copy of the new version stands before its alias moves

Need: a release of four fifths of all functions at once makes every event wait for a load from a crowded store.

Change: handlers.Pacer takes a release through function by function, most used first, so many loads at a time, resting when the store is in trouble; drill plays release-at-once and release-paced with a registry in each front end, which hear of moves one after the other; reports tell the worst two seconds.

--- a/cmd/streamcleat/box_test.go
+++ b/cmd/streamcleat/box_test.go
@@ -210,10 +210,11 @@
 	s.t.Errorf("%s: no final answer", id)
 }
 
-func (s *site) note(f timers.Firing, _ string, left time.Duration) func(int, error) {
+func (s *site) note(f timers.Firing, _ string, left time.Duration) func(int, string, error) {
 	r := referee.Record{Kind: referee.Asked, Event: "/sale#" + f.ID, Type: f.Entry.Type, Front: "box-1", Call: s.tape.Call(), Wait: left.Seconds()}
 	s.tape.Add(r)
-	return func(status int, err error) {
+	return func(status int, digest string, err error) {
+		r.Digest = digest
 		r.Status = status
 		switch {
 		case status == 0: // the box was stopped or killed by the script
--- a/cmd/streamcleat/drill.go
+++ b/cmd/streamcleat/drill.go
@@ -116,7 +116,7 @@
 	fmt.Printf("%s, seed %d, %.1f s: %s\n", r.Script, r.Seed, r.Seconds, verdict)
 	fmt.Printf("  events     %d asked: %d handled, %d deferred, %d dead-lettered, %d refused, %d clients left, %d unanswered\n",
 		r.Events, r.Handled, r.Deferred, r.DeadLettered, r.Refused, r.Left, r.Unanswered)
-	fmt.Printf("  service    %.1f%% of %d firings handled in time; %d asks joined another's event\n", 100*r.InTime, r.Firings, r.Joined)
+	fmt.Printf("  service    %.1f%% of %d firings handled in time, %.1f%% in the worst 2 s; %d asks joined another's event\n", 100*r.InTime, r.Firings, 100*r.Worst, r.Joined)
 	fmt.Printf("  launches   %d, load orders %d, store fetches %d\n", r.Launches, r.Orders, r.Fetches)
 	fmt.Printf("  latency    p50 %.0f ms, p90 %.0f ms, p99 %.0f ms, max %.0f ms\n", r.Latency["p50"], r.Latency["p90"],
 		r.Latency["p99"], r.Latency["max"])
--- /dev/null
+++ b/drill/release.go
@@ -0,0 +1,148 @@
+package drill
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/opencontainers/go-digest"
+
+	"streamcleat/control"
+	"streamcleat/gateway"
+	"streamcleat/handlers"
+	"streamcleat/standin"
+)
+
+// versions gives each front end a registry of its own, as boxes have: a move reaches one after the other.
+type versions struct {
+	mu   sync.Mutex
+	regs []*handlers.Registry
+}
+
+func newVersions(functions []standin.Function, fronts int) (*versions, error) {
+	v := &versions{}
+	for range fronts {
+		r := handlers.New()
+		for _, f := range functions {
+			for _, name := range []string{"1", "2"} {
+				d := digest.FromString(f.Name + ":" + name)
+				if err := r.Apply(handlers.Entry{Publish: &handlers.Version{Function: f.Name, Name: name, Digest: d, Lanes: f.Lanes,
+					Memory: f.Memory, Load: f.Fetch + f.Begin}}); err != nil {
+					return nil, err
+				}
+			}
+			if err := r.Apply(handlers.Entry{Move: &handlers.Move{Function: f.Name, Alias: handlers.Current, Digest: digest.FromString(f.Name + ":1")}}); err != nil {
+				return nil, err
+			}
+		}
+		v.regs = append(v.regs, r)
+	}
+	return v, nil
+}
+
+func (v *versions) bind(front int, figures func(string) gateway.Function) func(*gateway.Ask) (gateway.Binding, gateway.Function, error) {
+	return func(ask *gateway.Ask) (gateway.Binding, gateway.Function, error) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		b, err := v.regs[front].Bind(ask.Function, ask.Type, ask.Tenant, ask.Identity.String())
+		if err != nil {
+			return gateway.Binding{}, gateway.Function{}, err
+		}
+		return gateway.Binding{ID: b.ID(), Function: b.Function, Version: b.Name, Digest: string(b.Digest)}, figures(b.Function), nil
+	}
+}
+
+func (v *versions) mayRun(front int) func(gateway.Binding) bool {
+	return func(b gateway.Binding) bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.regs[front].May(b.Function, digest.Digest(b.Digest))
+	}
+}
+
+// move reaches the front ends one after the other.
+func (v *versions) move(m handlers.Move) error {
+	for i := range v.regs {
+		v.mu.Lock()
+		err := v.regs[i].Apply(handlers.Entry{Move: &m})
+		v.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return nil
+}
+
+const releaseLoads = 4 // loads of a paced release at once
+
+// release takes a share of all functions to their second version, at once or paced.
+func (d *day) release(ctx context.Context, t Trouble, rng *rand.Rand) error {
+	if d.reg == nil {
+		return errors.New("the script says nothing of versions")
+	}
+	var list []handlers.Going
+	for _, i := range rng.Perm(d.script.Functions)[:int(t.Part*float64(d.script.Functions))] {
+		f := d.functions[i] // the catalogue's order is that of popularity
+		list = append(list, handlers.Going{Function: f.Name, To: digest.FromString(f.Name + ":2"), Use: -float64(i), Load: f.Fetch + f.Begin})
+	}
+	if t.Kind == "release-at-once" {
+		for _, g := range list {
+			if err := d.reg.move(handlers.Move{Function: g.Function, Alias: handlers.Current, Digest: g.To}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	p := handlers.NewPacer(handlers.Current, releaseLoads, list)
+	for {
+		now := d.tape.Now()
+		for _, g := range p.Next(now) {
+			for _, f := range d.fronts {
+				if _, err := f.Ahead("", g.Function+"@"+string(g.To)); err != nil {
+					return err
+				}
+			}
+			p.Asked(g.Function, now)
+		}
+		for _, g := range p.Loading() {
+			if !d.stands(g.Function + "@" + string(g.To)) {
+				continue
+			}
+			if m, due := p.Stands(g.Function, d.tape.Now()); due {
+				if err := d.reg.move(m); err != nil {
+					return err
+				}
+			}
+		}
+		left, lost := p.Left()
+		if len(lost) > 0 {
+			d.log.Info("given up", "functions", fmt.Sprint(lost))
+		}
+		if left == 0 || !d.sleep(ctx, 0.02) {
+			return nil
+		}
+	}
+}
+
+// stands tells whether every front end believes that a copy of a version stands.
+func (d *day) stands(id string) bool {
+	all := true
+	for _, f := range d.fronts {
+		err := f.Do(func(c *gateway.Core) {
+			_, functions := c.Believed()
+			one := false
+			for _, x := range functions {
+				one = one || x.ID == control.FunctionID(id) && len(x.Warm) > 0
+			}
+			all = all && one
+		})
+		if err != nil {
+			return false
+		}
+	}
+	return all
+}
--- a/drill/run.go
+++ b/drill/run.go
@@ -30,7 +30,8 @@
 	Script string `json:"script"`
 	Seed   uint64 `json:"seed"`
 	referee.Verdict
-	InTime   float64            `json:"in_time"` // share of firings handled within the target time, repeats with their first try
+	Worst    float64            `json:"worst_2s"` // the same within the worst two seconds
+	InTime   float64            `json:"in_time"`  // share of firings handled within the target time, repeats with their first try
 	Firings  int                `json:"firings"`
 	Joined   uint64             `json:"joined"` // askers answered by an event that another began
 	Fetches  int                `json:"store_fetches"`
@@ -67,6 +68,7 @@
 	store     *standin.Store
 	memory    *standin.Memory
 	list      *standin.List
+	reg       *versions
 	fronts    []*netloop.Server
 	addrs     []string
 	rules     referee.Rules
@@ -80,6 +82,7 @@
 	latency  *hdrhistogram.Histogram
 	firings  int
 	inTime   int
+	stretch  map[int][2]int // by two seconds: firings, and those in time
 
 	boost   atomic.Int64 // rate in hundredths of the usual
 	hot     atomic.Int64 // share of events for hot functions, in thousandths
@@ -98,7 +101,7 @@
 	}
 	defer os.RemoveAll(dir)
 	d := &day{script: s, seed: seed, rng: rand.New(rand.NewPCG(seed, 0xd411)), log: log, tape: referee.NewTape(), dir: dir,
-		store: standin.NewStore(s.Workers, s.Workers*4), memory: standin.NewMemory(remembered), causes: map[string]int{},
+		store: standin.NewStore(s.Workers, s.Workers*4), memory: standin.NewMemory(remembered), causes: map[string]int{}, stretch: map[int][2]int{},
 		latency: hdrhistogram.New(1, 60_000_000, 3)}
 	d.boost.Store(100)
 	defer d.close()
@@ -127,6 +130,12 @@
 	if d.firings > 0 {
 		r.InTime = float64(d.inTime) / float64(d.firings)
 	}
+	r.Worst = 1
+	for _, x := range d.stretch {
+		if x[0] >= 20 {
+			r.Worst = min(r.Worst, float64(x[1])/float64(x[0]))
+		}
+	}
 	r.Fetches, r.Causes, r.Failures = d.store.Fetches, d.causes, d.failures
 	for _, q := range []float64{50, 90, 99, 99.9} {
 		r.Latency[fmt.Sprintf("p%g", q)] = float64(d.latency.ValueAtQuantile(q)) / 1000
@@ -236,9 +245,17 @@
 	if err != nil {
 		return err
 	}
+	if s.Versions {
+		if d.reg, err = newVersions(d.functions, s.FrontEnds); err != nil {
+			return err
+		}
+	}
 	for i := range s.FrontEnds {
 		core := c.Core(d.seed*1000003 + uint64(i))
 		core.Deployment.FrontEnds, core.Deployment.MayTell = s.FrontEnds, s.FrontEnds > 1
+		if d.reg != nil {
+			core.Bind, core.MayRun = d.reg.bind(i, c.Function), d.reg.mayRun(i)
+		}
 		name := fmt.Sprintf("front-%d", i)
 		set := netloop.Settings{Name: name, Listen: c.Listen[0], Cluster: "drill", WorkersFile: path, Core: core, Pool: c.Pool(name),
 			Front: c.Front(), MostConns: c.Limits.Connections, Log: d.log, Ended: func(a gateway.Answer, _ *gateway.Trace) {
@@ -308,12 +325,15 @@
 	return &timers.Client{Source: source, Fronts: d.addrs, HTTP: &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}}, MaxAge: time.Duration(maxAge * float64(time.Second)),
 		Repeat: repeats, Once: map[string]bool{"price-reset": true},
-		Trying: func(f timers.Firing, front string, left time.Duration) func(int, error) {
+		Trying: func(f timers.Firing, front string, left time.Duration) func(int, string, error) {
 			r := referee.Record{Kind: referee.Asked, Event: source + "#" + f.ID, Type: f.Entry.Type, Function: f.Entry.Function,
 				Front: d.front(front), Call: d.tape.Call(), Wait: left.Seconds()}
 			d.tape.Add(r)
-			return func(status int, err error) {
+			return func(status int, digest string, err error) {
 				r.Status = status
+				if status == 200 {
+					r.Digest = digest
+				}
 				switch {
 				case status == 0 && errors.Is(err, context.Canceled):
 					r.Kind = referee.Left
@@ -356,6 +376,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.firings++
+	slot := int(d.tape.Now()-o.Took.Seconds()) / 2
+	x := d.stretch[slot]
+	x[0]++
+	if o.Status == 200 && o.Took.Seconds() <= targetTime {
+		x[1]++
+	}
+	d.stretch[slot] = x
 	if o.Status == 200 {
 		d.latency.RecordValue(max(o.Took.Microseconds(), 1))
 		if o.Took.Seconds() <= targetTime {
--- a/drill/script.go
+++ b/drill/script.go
@@ -31,7 +31,8 @@
 	OnEvent   bool               `json:"load_on_event"`
 	Ration    [3]float64         `json:"ration"` // load window, orders free, orders for each event
 	Repeats   int                `json:"repeats"`
-	Ahead     float64            `json:"ahead"` // seconds before a timer is due that its function is loaded; 0: never
+	Versions  bool               `json:"versions"` // functions have versions
+	Ahead     float64            `json:"ahead"`    // seconds before a timer is due that its function is loaded; 0: never
 	Troubles  []Trouble          `json:"troubles"`
 }
 
@@ -51,7 +52,7 @@
 var kinds = map[string]bool{"hang": true, "lose": true, "errors": true, "slow": true, "stall": true, "reset": true,
 	"cut": true, "late-reports": true, "crash": true, "deploy": true, "replace": true, "preempt": true, "flush": true,
 	"store-slow": true, "store-stop": true, "burst": true, "hot-key": true, "all-gone": true, "midnight": true,
-	"hang-up": true, "retry-abuse": true, "pauses": true, "neighbour": true}
+	"hang-up": true, "retry-abuse": true, "release-at-once": true, "release-paced": true, "pauses": true, "neighbour": true}
 
 //go:embed scripts/*.json
 var files embed.FS
--- a/drill/trouble.go
+++ b/drill/trouble.go
@@ -106,6 +106,8 @@
 		d.store.Slow(1)
 	case "store-stop":
 		d.store.Stop(t.For)
+	case "release-at-once", "release-paced":
+		return d.release(ctx, t, rng)
 	case "burst":
 		d.boost.Store(int64(100 * t.Times))
 		d.sleep(ctx, t.For)
--- a/timers/client.go
+++ b/timers/client.go
@@ -41,8 +41,8 @@
 	Repeat int             // further tries after a deferral or a lost answer, with the same identity
 	Once   map[string]bool // event types that are not tried again after a lost answer
 	// Trying is told of each try with the time that the client still waits; what it returns is told the status that
-	// came back, 0 where none did. It may be nil.
-	Trying func(f Firing, front string, left time.Duration) func(status int, err error)
+	// came back, 0 where none did, and the digest that the answer names. It may be nil.
+	Trying func(f Firing, front string, left time.Duration) func(status int, digest string, err error)
 	Ended  func(Outcome) // told of each firing that Run made; may be nil
 }
 
@@ -109,12 +109,12 @@
 	for {
 		out.Front, out.Tries = fronts[at%len(fronts)], out.Tries+1
 		left := wait - time.Since(begin)
-		tried := func(int, error) {}
+		tried := func(int, string, error) {}
 		if c.Trying != nil {
 			tried = c.Trying(f, out.Front, left)
 		}
 		reached := c.try(ctx, &out, left)
-		tried(out.Status, out.Err)
+		tried(out.Status, out.Digest, out.Err)
 		out.Took = time.Since(begin)
 		final := out.Status != 0 && out.Status != http.StatusServiceUnavailable
 		lost := out.Status == 0 && reached && c.Once[f.Entry.Type] // it may have run
