--- a/appliance/box.go
+++ b/appliance/box.go
@@ -74,7 +74,7 @@
 // choresFor are the box's background work. Compaction and expiry keep the state bounded; the tick makes a restart
 // count the time of service. Functions of timers that are due soon are loaded ahead, where the decisions see fit.
 func choresFor(stored, timed bool) (list []Chore) {
-	list = append(list, Chore{Name: "rollouts", Every: 1, Priority: 4, Slice: 0.05, Urgent: true})
+	list = append(list, Chore{Name: "rollouts", Every: 0.2, Priority: 4, Slice: 0.05, Urgent: true})
 	if timed {
 		list = append(list, Chore{Name: "ahead", Every: 1, Priority: 4, Slice: 0.05, Share: 0.05},
 			Chore{Name: "crontab", Every: 2, Priority: 1, Slice: 0.1, Share: 0.02, Patience: 60})
@@ -390,6 +390,32 @@
 	return nil
 }
 
+// loadVersion has every front end order a copy of a version, where the decisions see fit.
+func (b *Box) loadVersion(ref string) error {
+	for _, f := range b.serving() {
+		if _, err := f.Ahead("", ref); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stands tells whether every front end believes that a copy of a version stands.
+func (b *Box) stands(id string) bool {
+	all := true
+	for _, f := range b.serving() {
+		one := false
+		err := f.Do(func(c *gateway.Core) {
+			_, functions := c.Believed()
+			for _, x := range functions {
+				one = one || string(x.ID) == id && len(x.Warm) > 0
+			}
+		})
+		all = all && one && err == nil
+	}
+	return all
+}
+
 // prepare has copies of versions that a rollout is going to loaded ahead, within the ration, so that the first event
 // of the new version does not wait for its load. The old copies stay until nobody asks for them.
 func (b *Box) prepare(until time.Time) error {
@@ -629,6 +655,9 @@
 		err = b.rereadTimers()
 	case "rollouts":
 		if err = b.reg.judge(b.log); err == nil {
+			err = b.reg.step(b.seconds(), b.log, b.loadVersion, b.stands)
+		}
+		if err == nil {
 			err = b.prepare(at.Add(time.Duration(budget * float64(time.Second))))
 		}
 	case "tick":
--- a/appliance/registry.go
+++ b/appliance/registry.go
@@ -19,19 +19,31 @@
 	mu    sync.Mutex
 	reg   *handlers.Registry
 	store *durable.Store
+	asked map[string]int  // events by function since the start
+	pacer *handlers.Pacer // a release under way; a restart ends it where it is
+	who   string          // who began it
+}
+
+// Release asks for many functions to go to a version of the same tag, paced.
+type Release struct {
+	Alias     string   `json:"alias"`
+	Tag       string   `json:"tag"`       // version that they go to
+	Functions []string `json:"functions"` // empty: all that have it
+	Loads     int      `json:"loads"`     // at once
 }
 
 // Change is what a console asks of the registry: an entry, or to go back.
 type Change struct {
 	handlers.Entry
-	Back *struct {
+	Release *Release `json:"release,omitempty"`
+	Back    *struct {
 		Function string `json:"function"`
 		Alias    string `json:"alias"`
 	} `json:"back,omitempty"`
 }
 
 func (g *registry) open(store *durable.Store, trail [][]byte) error {
-	g.reg, g.store = handlers.New(), store
+	g.reg, g.store, g.asked = handlers.New(), store, map[string]int{}
 	for i, data := range trail {
 		var e handlers.Entry
 		err := json.Unmarshal(data, &e)
@@ -78,6 +90,9 @@
 		return "", refusal{400, "who makes the change?"}
 	}
 	e.At = float64(time.Now().UnixNano()) / 1e9
+	if c.Release != nil {
+		return g.begin(*c.Release, e.Who)
+	}
 	if c.Back != nil {
 		m, err := g.reg.Back(c.Back.Function, c.Back.Alias)
 		if err != nil {
@@ -101,6 +116,77 @@
 	return "withdrawn: " + e.Withdraw, nil
 }
 
+// begin plans a release. Only one goes on at a time.
+func (g *registry) begin(r Release, who string) (string, error) {
+	if g.pacer != nil {
+		return "", fmt.Errorf("a release by %s is under way", g.who)
+	}
+	names := r.Functions
+	if len(names) == 0 {
+		for _, f := range g.reg.List() {
+			names = append(names, f.Function)
+		}
+	}
+	var list []handlers.Going
+	for _, name := range names {
+		v, err := g.reg.Find(name + ":" + r.Tag)
+		switch {
+		case errors.Is(err, handlers.ErrUnknown) && len(r.Functions) == 0:
+			continue
+		case err != nil:
+			return "", err
+		case v.Withdrawn:
+			return "", fmt.Errorf("%s:%s: %w", name, r.Tag, handlers.ErrWithdrawn)
+		}
+		if now, err := g.reg.Find(name + ":" + r.Alias); err == nil && now.Digest == v.Digest {
+			continue
+		}
+		list = append(list, handlers.Going{Function: name, To: v.Digest, Use: float64(g.asked[name]), Load: v.Load})
+	}
+	if len(list) == 0 {
+		return "", fmt.Errorf("no function goes to %s by that: none has the version, or all have it already", r.Tag)
+	}
+	g.pacer, g.who = handlers.NewPacer(r.Alias, r.Loads, list), who
+	return fmt.Sprintf("%d functions go to %s, the most asked for first, %d loads at a time", len(list), r.Tag, max(r.Loads, 1)), nil
+}
+
+// step takes a release on. order asks every front end to have a version loaded, stands tells whether all believe that
+// a copy does.
+func (g *registry) step(now float64, log *slog.Logger, order func(ref string) error, stands func(id string) bool) error {
+	g.mu.Lock()
+	p := g.pacer
+	g.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	for _, x := range p.Next(now) {
+		if err := order(x.Function + "@" + string(x.To)); err != nil {
+			return err
+		}
+		p.Asked(x.Function, now)
+	}
+	for _, x := range p.Loading() {
+		if !stands(x.Function + "@" + string(x.To)) {
+			continue
+		}
+		if m, due := p.Stands(x.Function, now); due {
+			g.mu.Lock()
+			err := g.apply(handlers.Entry{At: float64(time.Now().UnixNano()) / 1e9, Who: g.who, Move: &m, Why: "release"})
+			g.mu.Unlock()
+			if err != nil { // withdrawn meanwhile: the others go on
+				log.Error("release: an alias does not move", "function", x.Function, "error", err)
+			}
+		}
+	}
+	if left, lost := p.Left(); left == 0 {
+		log.Info("release ended", "who", g.who, "rested", p.Rested, "given_up", fmt.Sprint(lost))
+		g.mu.Lock()
+		g.pacer = nil
+		g.mu.Unlock()
+	}
+	return nil
+}
+
 // judge moves rollouts on, or back.
 func (g *registry) judge(log *slog.Logger) error {
 	g.mu.Lock()
@@ -162,6 +248,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.asked[ref.Function]++
 	g.reg.Seen(ref.Function, ref.Digest, bad)
 }
 
--- a/appliance/registry_test.go
+++ b/appliance/registry_test.go
@@ -190,3 +190,38 @@
 		t.Errorf("%+v", last)
 	}
 }
+
+// A release moves each alias only when a copy of the new version stands; a second one has to wait, and nothing is
+// asked to move twice.
+func TestPacedRelease(t *testing.T) {
+	tape := referee.NewTape()
+	r := newRunningWith(t, 2, "", tape)
+	r.start()
+	r.publish(0)
+	r.publish(1)
+	r.alias(0)
+	if o := r.ask(tape, "again", "tally", "before"); o.Status != 200 {
+		t.Fatal(o)
+	}
+	r.change(`{"who":"test","release":{"alias":"current","tag":"1.1","loads":2}}`)
+	_, d1 := version(1)
+	var list []handlers.View
+	r.wait("the alias moved", func() bool {
+		list = nil
+		r.get("registry", &list)
+		return list[0].Aliases["current"] == d1
+	})
+	began := time.Now()
+	if o := r.ask(tape, "again", "tally", "after"); o.Status != 200 || o.Digest != string(d1) {
+		t.Errorf("%+v after %v", o, time.Since(began))
+	}
+	ordered := 0
+	for _, rec := range tape.Records() {
+		if rec.Kind == referee.Ordered {
+			ordered++
+		}
+	}
+	if ordered > 3 {
+		t.Errorf("%d load orders for two versions", ordered)
+	}
+}
--- a/cmd/streamcleat/handler.go
+++ b/cmd/streamcleat/handler.go
@@ -19,7 +19,7 @@
 // handlerCommand holds what is done to the registry of functions.
 func handlerCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "handler", Short: "Versions of functions, the aliases that name them, and rollouts"}
-	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerBack(), handlerWithdraw(), handlerVerify(), handlerPull(),
+	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerRelease(), handlerBack(), handlerWithdraw(), handlerVerify(), handlerPull(),
 		registryTable("list", "Functions with their versions and aliases", func(c *console.Client) (any, [][]string, error) {
 			var list []handlers.View
 			err := c.Get("registry", &list)
@@ -239,6 +239,19 @@
 	})
 }
 
+func handlerRelease() *cobra.Command {
+	var r appliance.Release
+	cmd := &cobra.Command{Use: "release VERSION", Short: "Take many functions to a version, each alias moving when a copy stands", Args: cobra.ExactArgs(1)}
+	f := cmd.Flags()
+	f.StringVar(&r.Alias, "alias", handlers.Current, "alias that moves")
+	f.StringSliceVar(&r.Functions, "functions", nil, "functions; none: all that have the version")
+	f.IntVar(&r.Loads, "loads", 4, "loads at a time")
+	return change(cmd, func(_ *console.Client, args []string) (appliance.Change, error) {
+		r.Tag = args[0]
+		return appliance.Change{Release: &r}, nil
+	})
+}
+
 func handlerBack() *cobra.Command {
 	cmd := &cobra.Command{Use: "back FUNCTION:ALIAS", Short: "Take an alias back to what it named before", Args: cobra.ExactArgs(1)}
 	return change(cmd, func(_ *console.Client, args []string) (appliance.Change, error) {
