Expiring tokens of a registry, handler show, and free ports in the tests

Need: a pull must outlive its token; two test runs on one machine met on one port.

Change: the stand-in registry hands out bearer tokens that expire; handler show; the box and path tests take ports that are free.

Measured: a pull of six pieces through tokens that are good for two requests each comes in.

--- a/cmd/streamcleat/box_test.go
+++ b/cmd/streamcleat/box_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -36,10 +37,18 @@
 	answers map[string][]int // statuses by event, 0 for a broken connection
 }
 
-const boxPort = "127.0.0.1:18478"
+// freeAddr is a loopback address that nobody uses at the moment; the box keeps it over its restarts.
+func freeAddr(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
 
 func newSite(t *testing.T, workers int) *site {
-	s := &site{t: t, dir: t.TempDir(), tape: referee.NewTape(), front: boxPort, answers: map[string][]int{}}
+	s := &site{t: t, dir: t.TempDir(), tape: referee.NewTape(), front: freeAddr(t), answers: map[string][]int{}}
 	fns := standin.Catalogue(6, 0.03, 5)
 	store, memory := standin.NewStore(4, 16), standin.NewMemory(60)
 	for i := range workers {
@@ -56,7 +65,7 @@
 		t.Fatal(err)
 	}
 	s.write("crontab", "0 0 1 1 * price-reset shop-001 minato %{\"reset\":1}\n")
-	s.write("box.json", `{"name": "box-1", "listen": ["`+boxPort+`"], "workers": {"file": "workers.json"}, "stop_within_s": 3,
+	s.write("box.json", `{"name": "box-1", "listen": ["`+s.front+`"], "workers": {"file": "workers.json"}, "stop_within_s": 3,
 		"event_types": [{"name": "shop-event", "target_time_s": 1, "max_age_s": 3},
 			{"name": "till-entry", "target_time_s": 1, "max_age_s": 3, "repeat": "keyed", "remembered_s": 60},
 			{"name": "price-reset", "target_time_s": 1, "max_age_s": 3, "repeat": "at-most-once"}],
--- a/cmd/streamcleat/handler.go
+++ b/cmd/streamcleat/handler.go
@@ -25,6 +25,7 @@
 			err := c.Get("registry", &list)
 			return list, console.RegistryRows(list), err
 		}),
+		handlerShow(),
 		registryTable("trail", "Who changed what when", func(c *console.Client) (any, [][]string, error) {
 			var list []handlers.Entry
 			err := c.Get("trail", &list)
@@ -52,6 +53,30 @@
 	return cmd
 }
 
+func handlerShow() *cobra.Command {
+	var asJSON bool
+	cmd := &cobra.Command{Use: "show FUNCTION", Short: "One function with its versions, aliases and rollouts", Args: cobra.ExactArgs(1)}
+	client := reach(cmd)
+	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
+	cmd.RunE = func(_ *cobra.Command, args []string) error {
+		c, err := client()
+		if err != nil {
+			return err
+		}
+		var list []handlers.View
+		if err := c.Get("registry", &list); err != nil {
+			return err
+		}
+		for _, f := range list {
+			if f.Function == args[0] {
+				return show(asJSON, f, func() string { return console.Table(console.RegistryRows([]handlers.View{f})) })
+			}
+		}
+		return fmt.Errorf("function %s: %w", args[0], handlers.ErrUnknown)
+	}
+	return cmd
+}
+
 // change adds the flags that every change has, and makes it.
 func change(cmd *cobra.Command, make func(c *console.Client, args []string) (appliance.Change, error)) *cobra.Command {
 	var why string
--- a/cmd/streamcleat/handler_test.go
+++ b/cmd/streamcleat/handler_test.go
@@ -38,6 +38,8 @@
 		{"alias shop-001:current 7.7", "not in the registry", false},
 		{"roll shop-001:current 1.1 --steps 0.5 --hold 600", "goes over to " + string(d2), true},
 		{"list", "current for 50%", true},
+		{"show shop-001", "1.1", true},
+		{"show shop-009", "not in the registry", false},
 		{"back shop-001:current", "names " + string(d), true},
 		{"withdraw shop-001:1.1", "withdrawn", true},
 		{"list --json", `"withdrawn":true`, true},
--- a/cmd/streamcleat/script_test.go
+++ b/cmd/streamcleat/script_test.go
@@ -8,4 +8,9 @@
 
 func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"streamcleat": main}) }
 
-func TestScripts(t *testing.T) { testscript.Run(t, testscript.Params{Dir: "testdata"}) }
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
+		e.Setenv("FRONT", freeAddr(t))
+		return nil
+	}})
+}
--- a/handlers/source/source_test.go
+++ b/handlers/source/source_test.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// Tokens that expire in the middle of a pull are asked for anew.
+func TestExpiringTokens(t *testing.T) {
+	r := registry(t)
+	r.Tokens(2)
+	d := r.Push("shops/tally", nil, [][]byte{layer, []byte("a"), []byte("b"), []byte("c")}, "current")
+	c, _ := at(t, r, 1<<20)
+	if held, err := c.Pull(context.Background(), "tally", d); err != nil || len(held) != 6 {
+		t.Error(held, err)
+	}
+	if r.Issued() < 3 {
+		t.Errorf("%d tokens for seven requests, each good for two", r.Issued())
+	}
+}
+
 func TestLayersAreFetchedOnceAndShared(t *testing.T) {
 	r := registry(t)
 	a := r.Push("shops/tally", map[string]string{"v": "1"}, [][]byte{layer, []byte("one")})
--- a/standin/registry.go
+++ b/standin/registry.go
@@ -26,6 +26,47 @@
 	fail   int // requests that are answered with a status
 	status int
 	Reads  int // requests for content
+	uses   int // requests that a bearer token is good for; 0: the registry asks for user and secret itself
+	token  int // number of the newest one
+	left   int
+}
+
+// Tokens makes the registry hand out bearer tokens, each of which expires after so many requests.
+func (r *Registry) Tokens(uses int) {
+	r.mu.Lock()
+	r.uses = uses
+	r.mu.Unlock()
+}
+
+// Issued is how many tokens were handed out.
+func (r *Registry) Issued() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.token
+}
+
+// allowed checks who asks, by the Docker token scheme or by a basic challenge.
+func (r *Registry) allowed(w http.ResponseWriter, req *http.Request) bool {
+	user, secret, _ := req.BasicAuth()
+	known := user == r.user && secret == r.secret
+	switch {
+	case r.user == "" || r.uses == 0 && known:
+		return true
+	case r.uses == 0:
+		w.Header().Set("WWW-Authenticate", `Basic realm="registry"`)
+	case req.URL.Path == "/token" && known:
+		r.token++
+		r.left = r.uses
+		fmt.Fprintf(w, `{"token":"t%d"}`, r.token)
+		return false
+	case req.Header.Get("Authorization") == fmt.Sprintf("Bearer t%d", r.token) && r.left > 0:
+		r.left--
+		return true
+	default:
+		w.Header().Set("WWW-Authenticate", fmt.Sprintf(`Bearer realm="%s/token",service="registry",scope="repository:any:pull"`, r.server.URL))
+	}
+	w.WriteHeader(http.StatusUnauthorized)
+	return false
 }
 
 // NewRegistry starts one. Where user is not empty it asks for it.
@@ -84,9 +125,7 @@
 func (r *Registry) serve(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if user, secret, _ := req.BasicAuth(); r.user != "" && (user != r.user || secret != r.secret) {
-		w.Header().Set("WWW-Authenticate", `Basic realm="registry"`)
-		w.WriteHeader(http.StatusUnauthorized)
+	if !r.allowed(w, req) {
 		return
 	}
 	if r.fail > 0 {
