--- a/cmd/streamcleat/handler.go
+++ b/cmd/streamcleat/handler.go
@@ -20,61 +20,40 @@
 func handlerCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "handler", Short: "Versions of functions, the aliases that name them, and rollouts"}
 	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerRelease(), handlerBack(), handlerWithdraw(), handlerVerify(), handlerPull(),
-		registryTable("list", "Functions with their versions and aliases", func(c *console.Client) (any, [][]string, error) {
-			var list []handlers.View
-			err := c.Get("registry", &list)
-			return list, console.RegistryRows(list), err
-		}),
-		handlerShow(),
-		registryTable("trail", "Who changed what when", func(c *console.Client) (any, [][]string, error) {
-			var list []handlers.Entry
-			err := c.Get("trail", &list)
-			return list, console.TrailRows(list), err
-		}))
+		handlerList(), handlerShow(), handlerTrail())
 	return cmd
 }
 
-func registryTable(use, short string, get func(*console.Client) (any, [][]string, error)) *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
-	client := reach(cmd)
-	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
-	cmd.RunE = func(*cobra.Command, []string) error {
-		c, err := client()
-		if err != nil {
-			return err
-		}
-		v, rows, err := get(c)
-		if err != nil {
-			return err
-		}
-		return show(asJSON, v, func() string { return console.Table(rows) })
-	}
-	return cmd
+func handlerList() *cobra.Command {
+	return shown("list", "Functions with their versions and aliases", cobra.NoArgs, func(c *console.Client, _ []string) (any, func() string, error) {
+		var list []handlers.View
+		err := c.Get("registry", &list)
+		return list, func() string { return console.Table(console.RegistryRows(list)) }, err
+	})
+}
+
+func handlerTrail() *cobra.Command {
+	return shown("trail", "Who changed what when", cobra.NoArgs, func(c *console.Client, _ []string) (any, func() string, error) {
+		var list []handlers.Entry
+		err := c.Get("trail", &list)
+		return list, func() string { return console.Table(console.TrailRows(list)) }, err
+	})
 }
 
 func handlerShow() *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{Use: "show FUNCTION", Short: "One function with its versions, aliases and rollouts", Args: cobra.ExactArgs(1)}
-	client := reach(cmd)
-	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
-	cmd.RunE = func(_ *cobra.Command, args []string) error {
-		c, err := client()
-		if err != nil {
-			return err
-		}
-		var list []handlers.View
-		if err := c.Get("registry", &list); err != nil {
-			return err
-		}
-		for _, f := range list {
-			if f.Function == args[0] {
-				return show(asJSON, f, func() string { return console.Table(console.RegistryRows([]handlers.View{f})) })
+	return shown("show FUNCTION", "One function with its versions, aliases and rollouts", cobra.ExactArgs(1),
+		func(c *console.Client, args []string) (any, func() string, error) {
+			var list []handlers.View
+			if err := c.Get("registry", &list); err != nil {
+				return nil, nil, err
 			}
-		}
-		return fmt.Errorf("function %s: %w", args[0], handlers.ErrUnknown)
-	}
-	return cmd
+			for _, f := range list {
+				if f.Function == args[0] {
+					return f, func() string { return console.Table(console.RegistryRows([]handlers.View{f})) }, nil
+				}
+			}
+			return nil, nil, fmt.Errorf("function %s: %w", args[0], handlers.ErrUnknown)
+		})
 }
 
 // change adds the flags that every change has, and makes it.
--- a/cmd/streamcleat/operate.go
+++ b/cmd/streamcleat/operate.go
@@ -74,61 +74,49 @@
 	return err
 }
 
-func statusCommand() *cobra.Command {
+// shown is a command that reads something from the box and prints it, as JSON or as text.
+func shown(use, short string, args cobra.PositionalArgs, get func(c *console.Client, args []string) (any, func() string, error)) *cobra.Command {
 	var asJSON bool
-	cmd := &cobra.Command{Use: "status", Short: "The box at a glance", Args: cobra.NoArgs}
+	cmd := &cobra.Command{Use: use, Short: short, Args: args}
 	client := reach(cmd)
 	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
-	cmd.RunE = func(*cobra.Command, []string) error {
+	cmd.RunE = func(_ *cobra.Command, args []string) error {
 		c, err := client()
 		if err != nil {
 			return err
 		}
-		var s appliance.Status
-		if err := c.Get("status", &s); err != nil {
+		v, text, err := get(c, args)
+		if err != nil {
 			return err
 		}
-		return show(asJSON, s, func() string { return console.StatusText(s, 80) })
+		return show(asJSON, v, text)
 	}
 	return cmd
 }
 
+func statusCommand() *cobra.Command {
+	return shown("status", "The box at a glance", cobra.NoArgs, func(c *console.Client, _ []string) (any, func() string, error) {
+		var s appliance.Status
+		err := c.Get("status", &s)
+		return s, func() string { return console.StatusText(s, 80) }, err
+	})
+}
+
 func listCommand(name, short string, empty func() any, text func(any) string) *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs}
-	client := reach(cmd)
-	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
-	cmd.RunE = func(*cobra.Command, []string) error {
-		c, err := client()
-		if err != nil {
-			return err
-		}
+	return shown(name, short, cobra.NoArgs, func(c *console.Client, _ []string) (any, func() string, error) {
 		v := empty()
-		if err := c.Get(name, v); err != nil {
-			return err
-		}
-		return show(asJSON, v, func() string { return text(v) })
-	}
-	return cmd
+		err := c.Get(name, v)
+		return v, func() string { return text(v) }, err
+	})
 }
 
 func explainCommand() *cobra.Command {
-	var asJSON bool
-	cmd := &cobra.Command{Use: "explain ID", Short: "The way of one event: what was believed, each launch, load and wait, and why it ended so",
-		Long: "explain takes an event's id, or source#id.", Args: cobra.ExactArgs(1)}
-	client := reach(cmd)
-	cmd.Flags().BoolVar(&asJSON, "json", false, "JSON")
-	cmd.RunE = func(_ *cobra.Command, args []string) error {
-		c, err := client()
-		if err != nil {
-			return err
-		}
-		e, err := c.Explain(args[0])
-		if err != nil {
-			return err
-		}
-		return show(asJSON, e, func() string { return console.EventText(e) })
-	}
+	cmd := shown("explain ID", "The way of one event: what was believed, each launch, load and wait, and why it ended so", cobra.ExactArgs(1),
+		func(c *console.Client, args []string) (any, func() string, error) {
+			e, err := c.Explain(args[0])
+			return e, func() string { return console.EventText(e) }, err
+		})
+	cmd.Long = "explain takes an event's id, or source#id."
 	return cmd
 }
 
--- a/front/http/event.go
+++ b/front/http/event.go
@@ -36,8 +36,6 @@
 	detail string
 }
 
-func (f *fault) Error() string { return f.detail }
-
 // readEvent understands a request as one CloudEvent in binary or structured mode (CloudEvents 1.0, HTTP binding
 // 3.1 and 3.2). wall is the time at which the request was whole.
 func readEvent(m *h1.Message, wall time.Time) (gateway.Ask, *fault) {
--- a/handlers/registry.go
+++ b/handlers/registry.go
@@ -481,26 +481,6 @@
 	return list
 }
 
-// Keep tells which versions' copies must stay: those that an alias or a rollout names. Copies of others may be let
-// go once no open event is bound to them.
-func (r *Registry) Keep(name string, d digest.Digest) bool {
-	f := r.fns[name]
-	if f == nil {
-		return false
-	}
-	for _, x := range f.aliases {
-		if x == d {
-			return true
-		}
-	}
-	for _, ro := range f.rollouts {
-		if ro.From == d || ro.To == d {
-			return true
-		}
-	}
-	return false
-}
-
 // Knows tells whether a function was ever published.
 func (r *Registry) Knows(name string) bool { return r.fns[name] != nil }
 
