Copies that were known before a restart are known again

Need: a box that restarts forgot where functions stand and ordered them all anew.

After a restart the first event of a function goes to its copy without a load order; without the recall it takes one.

--- a/appliance/box.go
+++ b/appliance/box.go
@@ -329,7 +329,7 @@
 		core := c.Core(rand.Uint64())
 		core.Bind, core.MayRun = b.bind, b.reg.mayRun
 		set := netloop.Settings{Name: name, Listen: addr, WorkersFile: c.Path(c.Workers.File), Core: core,
-			Pool: c.Pool(name), Front: c.Front(), MostConns: c.Limits.Connections, Log: b.log, Kept: b.found.Events,
+			Pool: c.Pool(name), Front: c.Front(), MostConns: c.Limits.Connections, Log: b.log, Kept: b.found.Events, Known: b.found.Known,
 			Ended: b.note, KeepWithin: time.Duration(c.Limits.Margin / 2 * float64(time.Second))}
 		if b.store != nil {
 			set.Keeper = b.store
@@ -661,7 +661,11 @@
 			err = b.prepare(at.Add(time.Duration(budget * float64(time.Second))))
 		}
 	case "tick":
-		err = b.store.Tick()
+		var known []gateway.Known
+		for _, f := range b.serving() {
+			known = append(known, f.Knows()...)
+		}
+		err = b.store.Tick(known)
 	case "expiry":
 		for time.Since(at).Seconds() < budget {
 			n := 0
--- a/appliance/box_test.go
+++ b/appliance/box_test.go
@@ -308,3 +308,23 @@
 	}
 	t.Error("the new crontab is not taken up")
 }
+
+// What was known of copies a moment ago is known after a restart: the first event goes to its copy, without an order.
+func TestCopiesAreKnownAfterARestart(t *testing.T) {
+	r := newRunning(t, 3, "")
+	r.start()
+	for n := range 3 {
+		r.fire("again", fmt.Sprint(n))
+	}
+	r.wait("it is noted", func() bool { s := r.status(); return len(s.Chores) > 0 && s.Chores[len(s.Chores)-3].Rounds >= 2 })
+	r.stop()
+	r.end()
+	r.start()
+	r.wait("the list is read", func() bool { return len(r.status().Workers) > 0 })
+	if o := r.fire("again", "first"); o.Status != 200 {
+		t.Fatal(o)
+	}
+	if n := r.status().Totals["orders"]; n != 0 {
+		t.Errorf("%d load orders for a copy that stands", n)
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -253,6 +253,16 @@
 	return site >= 0
 }
 
+// Recall takes back what this front end knew before it started anew: a copy that stood age seconds ago. It
+// moves beliefs only: one that is wrong costs a miss.
+func (r *Router) Recall(now float64, in Event, id WorkerID, age float64) {
+	r.now = now
+	if wk, known := r.index[id]; known && r.phase[wk] == Serving && age < r.dep.KeepWarm {
+		p := r.function(in).make(wk)
+		p.warm, p.seen = true, max(p.seen, now-age)
+	}
+}
+
 func (r *Router) order(f *function, site int) {
 	f.order, f.orderedAt, f.pause = site, r.now, r.now+moreEvery+moreLost*r.lost
 	r.ordered = append(r.within(r.ordered, r.dep.LoadWindow), r.now)
--- a/control/view.go
+++ b/control/view.go
@@ -22,7 +22,9 @@
 	Waiting int        // events that wait for the load that is ordered
 	Rate    float64    // answers a second, as far as seen
 	Median  float64    // of its latency, seconds; 0 before the first
-	Warm    []WorkerID // workers believed to hold a copy
+	Warm    []WorkerID // workers believed to hold a copy,
+	Ages    []float64  // and for each the seconds since it was last seen to
+	Load    float64    // usual seconds of a load, 0 where it is not told
 	Ordered WorkerID   // where a load is under way, "" for none
 }
 
@@ -68,10 +70,10 @@
 }
 
 func (r *Router) view(f *function) FunctionView {
-	v := FunctionView{ID: f.id, Lanes: f.lanes, Out: f.out, Waiting: len(f.followers), Rate: f.rate, Median: f.median}
+	v := FunctionView{ID: f.id, Lanes: f.lanes, Out: f.out, Waiting: len(f.followers), Rate: f.rate, Median: f.median, Load: f.load}
 	for i := range f.places {
 		if p := &f.places[i]; r.warm(p) && r.phase[p.wk] != Gone {
-			v.Warm = append(v.Warm, r.id[p.wk])
+			v.Warm, v.Ages = append(v.Warm, r.id[p.wk]), append(v.Ages, max(r.now-p.seen, 0))
 		}
 	}
 	if f.order >= 0 {
--- a/durable/ledger.go
+++ b/durable/ledger.go
@@ -60,6 +60,12 @@
 	Until int64       `cbor:"3,keyasint"` // and of when it is given up
 }
 
+// knowledge is what was believed of copies, and when.
+type knowledge struct {
+	At   Stamp           `cbor:"1,keyasint"`
+	List []gateway.Known `cbor:"2,keyasint"`
+}
+
 // op is one change of the store; a nil value deletes.
 type op struct{ key, value []byte }
 
@@ -75,6 +81,7 @@
 	formKey      = []byte("m/form")
 	runKey       = []byte("m/run")
 	configKey    = []byte("m/config")
+	knownKey     = []byte("m/known")
 )
 
 const form = "streamcleat 1"
--- a/durable/store.go
+++ b/durable/store.go
@@ -44,6 +44,7 @@
 	Events   []gateway.Kept
 	Own      []Open
 	Fired    map[string]time.Time // by timer entry: the last minute it fired for
+	Known    []gateway.Known      // copies that were believed in, with their ages by now
 	Trail    [][]byte             // entries of the handlers' audit trail, in order
 	Config   []byte               // the last configuration that was in force
 	Fresh    bool                 // there was no store
@@ -289,6 +290,19 @@
 	} else if len(run) == 8 {
 		now.Run = math.Float64frombits(binary.BigEndian.Uint64(run))
 	}
+	if v, err = get(knownKey); err != nil {
+		return found, err
+	} else if v != nil {
+		var k knowledge
+		if cbor.Unmarshal(v, &k) != nil {
+			found.Unread++
+		} else if age, sure := k.At.since(now); sure { // else nobody knows how old it is
+			found.Known = k.List
+			for i := range found.Known {
+				found.Known[i].Age += age
+			}
+		}
+	}
 	err = each(db, timerPrefix, func(k, v []byte) {
 		if len(v) == 8 {
 			found.Fired[string(k)] = time.Unix(int64(binary.BigEndian.Uint64(v)), 0)
@@ -505,8 +519,14 @@
 	return s.failed
 }
 
-// Tick notes the time of service, so that a restart counts from here.
-func (s *Store) Tick() error { return s.write(nil) }
+// Tick notes the time of service, so that a restart counts from here, and what is known of copies.
+func (s *Store) Tick(known []gateway.Known) error {
+	value, err := cbor.Marshal(knowledge{s.now(), known})
+	if err != nil {
+		return err
+	}
+	return s.write([]op{{knownKey, value}})
+}
 
 // Expire lets go of at most so many records whose remembered time is over and tells how many it looked at; fewer
 // than most means that nothing more is due.
--- a/durable/store_test.go
+++ b/durable/store_test.go
@@ -81,7 +81,7 @@
 		}
 	}
 	s.Answered(ask.Identity)
-	s.Tick()
+	s.Tick(nil)
 	s.Close()
 	m.boot, m.up = "b", 1 // the machine started anew: spans are unknown
 	s, found = open(t, crashed, m)
@@ -111,7 +111,7 @@
 			break
 		}
 	}
-	s.Tick()
+	s.Tick(nil)
 	s.Close()
 	s, found := open(t, fs, m)
 	if looked != 25 || len(found.Events) != 26 {
@@ -121,7 +121,7 @@
 	for n := 7; n == 7; {
 		n, _ = s.Expire(7)
 	}
-	s.Tick()
+	s.Tick(nil)
 	s.Close()
 	s, found = open(t, fs, m)
 	left := 0
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -37,3 +37,23 @@
 	}
 	return lost
 }
+
+// Knows is what the decisions believe of copies, with its age. started tells a worker's start in Unix seconds.
+func (c *Core) Knows(started func(control.WorkerID) float64) (list []Known) {
+	for _, f := range c.router.Functions() {
+		for i, wk := range f.Warm {
+			list = append(list, Known{Function: string(f.ID), Binding: c.bindings[string(f.ID)], Lanes: f.Lanes, Load: f.Load,
+				Worker: string(wk), Started: started(wk), Age: f.Ages[i]})
+		}
+	}
+	return
+}
+
+// Recall hands what was known to the decisions, once the workers are listed.
+func (c *Core) Recall(now float64, k Known) {
+	c.at(now)
+	if k.Binding.ID != "" {
+		c.bindings[k.Binding.ID] = k.Binding
+	}
+	c.router.Recall(c.now, control.Event{Function: control.FunctionID(k.Function), Lanes: k.Lanes, Load: k.Load}, control.WorkerID(k.Worker), k.Age)
+}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -134,6 +134,17 @@
 	Reliable bool    // RanAgo counts from now and can be trusted; else any time may have passed
 }
 
+// Known is a copy that a front end believed in: what an earlier process hands to the next.
+type Known struct {
+	Function string // id for the decisions
+	Binding  Binding
+	Lanes    int
+	Load     float64
+	Worker   string
+	Started  float64 // Unix seconds of the worker's start, 0 where it is long ago: it held nothing before
+	Age      float64 // seconds since the copy was last seen to stand
+}
+
 // Step is one thing that happened to an event, for those who ask why it ended as it did.
 type Step struct {
 	At     float64 `json:"at"` // seconds after the event came in
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -42,6 +42,7 @@
 	Keeper      Keeper                               // keeps what must outlive the process; nil: nothing does
 	KeepWithin  time.Duration                        // an answer waits no longer than this for its note
 	Kept        []gateway.Kept                       // what an earlier process noted
+	Known       []gateway.Known                      // copies that it believed in, with their ages at the start
 	Ended       func(gateway.Answer, *gateway.Trace) // called on the loop for each ended event; may be nil
 }
 
@@ -114,6 +115,7 @@
 	ops      []op
 	keep     keep
 	lost     []gateway.Answer
+	born     float64 // on the clock
 	dirty    []*client
 	settling bool
 	draining bool
@@ -221,6 +223,7 @@
 func (s *Server) begin(loop gnet.EventLoop) {
 	s.loop = loop
 	s.pool = workers.NewPool(s.set.Pool, (*wire)(s), (*sink)(s))
+	s.born = Now()
 	s.core = gateway.New(s.set.Core, (*outside)(s), Now())
 	s.lost = s.core.Restore(Now(), s.set.Kept)
 	s.set.Kept = nil
@@ -489,11 +492,42 @@
 	s.pool.List(list)
 	if len(change) > 0 {
 		s.core.Workers(Now(), false, change)
+		s.recall()
 		s.log.Info("list of workers", "workers", len(list.Workers), "changed", len(change))
 	}
 	s.settle()
 }
 
+// recall hands on, with the first list, what an earlier process knew of workers that have not started anew since.
+func (s *Server) recall() {
+	known := s.set.Known
+	s.set.Known = nil
+	for _, k := range known {
+		k.Age += Now() - s.born
+		if d := s.started(control.WorkerID(k.Worker)) - k.Started; d > -1 && d < 1 {
+			s.core.Recall(Now(), k)
+		}
+	}
+}
+
+// started is a worker's start in Unix seconds, 0 where the list tells none.
+func (s *Server) started(id control.WorkerID) float64 {
+	if s.list != nil {
+		for _, w := range s.list.Workers {
+			if w.ID == id && w.Born > 0 {
+				return w.Born - Now() + float64(time.Now().UnixNano())/1e9
+			}
+		}
+	}
+	return 0
+}
+
+// Knows is what this front end believes of copies.
+func (s *Server) Knows() (list []gateway.Known) {
+	s.Do(func(c *gateway.Core) { list = c.Knows(s.started) })
+	return
+}
+
 // Drain makes a worker drain, or returns it to what the list says, whatever the list says meanwhile. It tells whether
 // the list names the worker.
 func (s *Server) Drain(id control.WorkerID, drain bool) (known bool, err error) {
