Only a corrupt state is set aside; another form or a failing disk is refused

Need: read again, any error while reading the state put it aside, also a store by a newer program and a disk that failed for a moment. What must not run twice would have been forgotten for that; so would an error that merely said invalid.

Change: only corruption and missing files set a store aside; all else is an error that names the folder. Consoles show a front end's real address where the configuration asks for any port.

--- a/appliance/api.go
+++ b/appliance/api.go
@@ -494,13 +494,13 @@
 
 func (b *Box) events(most int) []Event {
 	var list []Event
-	for i, f := range b.serving() {
+	for _, f := range b.serving() {
 		f.Do(func(c *gateway.Core) {
 			for _, t := range c.Open() {
-				list = append(list, shown(&t, b.cfg.Listen[i]))
+				list = append(list, shown(&t, f.Addr()))
 			}
 			for _, t := range c.Lately() {
-				list = append(list, shown(t, b.cfg.Listen[i]))
+				list = append(list, shown(t, f.Addr()))
 			}
 		})
 	}
@@ -521,12 +521,12 @@
 }
 
 func (b *Box) explain(id string) (any, error) {
-	for i, f := range b.serving() {
+	for _, f := range b.serving() {
 		var t gateway.Trace
 		found := false
 		f.Do(func(c *gateway.Core) { t, found = c.Explain(id) })
 		if found {
-			e := shown(&t, b.cfg.Listen[i])
+			e := shown(&t, f.Addr())
 			e.Steps = t.Steps
 			return e, nil
 		}
--- a/durable/store.go
+++ b/durable/store.go
@@ -113,8 +113,10 @@
 			return s, found, err
 		}
 		db.Close()
-		err = rerr
-		return salvage(dir, opt, found, err)
+		if !corrupt(rerr) { // a disk that fails for now, or a store of another form: nothing is put aside for that
+			return nil, nil, fmt.Errorf("state folder %s: %w", dir, rerr)
+		}
+		return salvage(dir, opt, found, rerr)
 	}
 	if locked(err) {
 		return nil, nil, fmt.Errorf("state folder %s: %w", dir, ErrInUse)
@@ -126,8 +128,8 @@
 }
 
 func corrupt(err error) bool {
-	return pebble.IsCorruptionError(err) || errors.Is(err, os.ErrNotExist) || errors.Is(err, errForm) ||
-		strings.Contains(err.Error(), "corrupt") || strings.Contains(err.Error(), "checksum") || strings.Contains(err.Error(), "invalid")
+	return pebble.IsCorruptionError(err) || errors.Is(err, os.ErrNotExist) || strings.Contains(err.Error(), "corrupt") ||
+		strings.Contains(err.Error(), "checksum")
 }
 
 func locked(err error) bool {
--- a/durable/store_test.go
+++ b/durable/store_test.go
@@ -354,3 +354,16 @@
 		s.Close()
 	}
 }
+
+// A store of another form, by a newer program say, is refused: put aside, what must not run twice would be forgotten.
+func TestStoreOfAnotherFormIsRefused(t *testing.T) {
+	fs, m := vfs.NewMem(), &machine{boot: "a"}
+	s, _ := open(t, fs, m)
+	if err := s.write([]op{{formKey, []byte("streamcleat 99")}}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	if _, _, err := OpenStore("state", Options{FS: fs, Clock: m.stamp, Remember: 100}); !errors.Is(err, errForm) || !strings.Contains(err.Error(), "99") {
+		t.Error(err)
+	}
+}
