Keys vouch for versions, with rotation and revocation; repeats keep their version

Whoever reached the console's socket could publish any digest, and a repeat at another front end of a box was bound anew after its alias had moved.

A ring of Ed25519 keys may be configured (handlers.keys): a version is then published only with enough signatures, DSSE envelopes over in-toto statements that bind name, version and digest, given by hand or found among the referrers of the manifest. Keys have times from and until; a revoked one takes back what only it vouched for, through the trail.

--- a/appliance/box.go
+++ b/appliance/box.go
@@ -73,12 +73,15 @@
 
 // choresFor are the box's background work. Compaction and expiry keep the state bounded; the tick makes a restart
 // count the time of service. Functions of timers that are due soon are loaded ahead, where the decisions see fit.
-func choresFor(stored, timed bool) (list []Chore) {
+func choresFor(stored, timed, keyed bool) (list []Chore) {
 	list = append(list, Chore{Name: "rollouts", Every: 0.2, Priority: 4, Slice: 0.05, Urgent: true})
 	if timed {
 		list = append(list, Chore{Name: "ahead", Every: 1, Priority: 4, Slice: 0.05, Share: 0.05},
 			Chore{Name: "crontab", Every: 2, Priority: 1, Slice: 0.1, Share: 0.02, Patience: 60})
 	}
+	if keyed {
+		list = append(list, Chore{Name: "keys", Every: 2, Priority: 2, Slice: 0.1, Share: 0.02, Patience: 10})
+	}
 	if !stored {
 		return list
 	}
@@ -249,8 +252,14 @@
 		b.fail(err)
 		return
 	}
+	if h := b.cfg.Handlers; h != nil {
+		if err := b.reg.rekey(b.cfg.Path(h.Keys), b.log); err != nil {
+			b.fail(err)
+			return
+		}
+	}
 	b.mu.Lock()
-	b.chores = NewChores(b.seconds(), choresFor(b.store != nil, b.cfg.Timers != nil)...)
+	b.chores = NewChores(b.seconds(), choresFor(b.store != nil, b.cfg.Timers != nil, b.cfg.Handlers != nil)...)
 	b.mu.Unlock()
 	b.move(Opened, "")
 }
@@ -653,6 +662,8 @@
 		err = b.loadAhead(at.Add(time.Duration(budget * float64(time.Second))))
 	case "crontab":
 		err = b.rereadTimers()
+	case "keys":
+		err = b.reg.rekey(b.cfg.Path(b.cfg.Handlers.Keys), b.log)
 	case "rollouts":
 		if err = b.reg.judge(b.log); err == nil {
 			err = b.reg.step(b.seconds(), b.log, b.loadVersion, b.stands)
--- a/appliance/box_test.go
+++ b/appliance/box_test.go
@@ -27,6 +27,9 @@
 	dir     string
 	workers []*standin.Worker
 	addr    string
+	addrs   []string
+	listen  string // two front ends where it says so
+	more    string // of the configuration
 	http    http.Client
 	stop    context.CancelFunc
 	hurry   chan struct{}
@@ -77,7 +80,11 @@
 }
 
 func (r *running) config() *config.Config {
-	c, err := config.Parse([]byte(`{"listen":["127.0.0.1:0"],"workers":{"file":"workers.json"},"event_types":[
+	listen := `["127.0.0.1:0"]`
+	if r.listen != "" {
+		listen = r.listen
+	}
+	c, err := config.Parse([]byte(`{"listen":`+listen+`,`+r.more+`"workers":{"file":"workers.json"},"event_types":[
 		{"name":"again","target_time_s":0.5,"max_age_s":1.5},{"name":"once","target_time_s":0.5,"max_age_s":1.5,"repeat":"at-most-once"}],
 		"functions":[{"match":"*","lanes":4,"load_s":0.03}],"timers":{"crontab":"crontab"},"state":{"dir":"state"},
 		"console":{"socket":"s","mode":"0640"},"stop_within_s":1}`), r.dir)
@@ -90,16 +97,17 @@
 func (r *running) start() {
 	r.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	ready := make(chan string, 1)
+	ready := make(chan []string, 1)
 	r.stop, r.hurry, r.ended, r.log = stop, make(chan struct{}), make(chan error, 1), &lines{}
 	socket := filepath.Join(r.dir, "s")
 	r.http = http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "unix", socket)
 	}}}
 	log := slog.New(slog.NewTextHandler(r.log, nil))
-	go func() { r.ended <- Run(ctx, r.config(), log, r.hurry, func(a []string) { ready <- a[0] }) }()
+	go func() { r.ended <- Run(ctx, r.config(), log, r.hurry, func(a []string) { ready <- a }) }()
 	select {
-	case r.addr = <-ready:
+	case r.addrs = <-ready:
+		r.addr = r.addrs[0]
 	case err := <-r.ended:
 		r.t.Fatal("the box ended: ", err)
 	}
--- a/appliance/registry.go
+++ b/appliance/registry.go
@@ -1,16 +1,23 @@
 package appliance
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/opencontainers/go-digest"
+
 	"streamcleat/durable"
 	"streamcleat/gateway"
 	"streamcleat/handlers"
+	"streamcleat/handlers/trust"
 )
 
 // registry is the box's registry of functions, shared by its front ends; its audit trail is on disk before a change
@@ -22,8 +29,15 @@
 	asked map[string]int  // events by function since the start
 	pacer *handlers.Pacer // a release under way; a restart ends it where it is
 	who   string          // who began it
+	ring  *trust.Ring     // nil: nobody has to vouch for versions
+	keys  []byte          // the ring's text
+	bound *lru.Cache[gateway.Identity, gateway.Binding]
 }
 
+// mostBound is how many events' bindings the box remembers for all of its front ends: a repeat that comes to another
+// front end than the first try keeps its version.
+const mostBound = 1 << 14
+
 // Release asks for many functions to go to a version of the same tag, paced.
 type Release struct {
 	Alias     string   `json:"alias"`
@@ -35,8 +49,9 @@
 // Change is what a console asks of the registry: an entry, or to go back.
 type Change struct {
 	handlers.Entry
-	Release *Release `json:"release,omitempty"`
-	Back    *struct {
+	Release    *Release `json:"release,omitempty"`
+	Signatures [][]byte `json:"signatures,omitempty"` // envelopes that vouch for what is published
+	Back       *struct {
 		Function string `json:"function"`
 		Alias    string `json:"alias"`
 	} `json:"back,omitempty"`
@@ -44,6 +59,10 @@
 
 func (g *registry) open(store *durable.Store, trail [][]byte) error {
 	g.reg, g.store, g.asked = handlers.New(), store, map[string]int{}
+	var err error
+	if g.bound, err = lru.New[gateway.Identity, gateway.Binding](mostBound); err != nil {
+		return err
+	}
 	for i, data := range trail {
 		var e handlers.Entry
 		err := json.Unmarshal(data, &e)
@@ -100,6 +119,14 @@
 		}
 		e.Move, e.Why = &m, "back"
 	}
+	if p := e.Publish; p != nil {
+		if p.Signed = nil; g.ring != nil {
+			var err error
+			if p.Signed, err = g.ring.Vouched(time.Now(), p.Function, p.Name, p.Digest, c.Signatures); err != nil {
+				return "", err
+			}
+		}
+	}
 	if err := g.apply(e); err != nil {
 		return "", err
 	}
@@ -116,6 +143,39 @@
 	return "withdrawn: " + e.Withdraw, nil
 }
 
+// rekey takes the ring of keys anew where its file changed, and withdraws what only revoked keys vouched for. A faulty
+// file leaves the last ring in force.
+func (g *registry) rekey(path string, log *slog.Logger) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ring != nil && bytes.Equal(data, g.keys) {
+		return nil
+	}
+	ring, err := trust.ReadRing(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	g.ring, g.keys = ring, data
+	for _, f := range g.reg.List() {
+		for _, v := range f.Versions {
+			if v.Withdrawn || ring.Stands(v.Signed) {
+				continue
+			}
+			why := "none in force vouches for it; it was published by " + strings.Join(v.Signed, ", ")
+			e := handlers.Entry{At: float64(time.Now().UnixNano()) / 1e9, Who: "keys", Withdraw: v.Function + "@" + string(v.Digest), Why: why}
+			if err := g.apply(e); err != nil {
+				return err
+			}
+			log.Warn("version withdrawn", "function", v.Function, "version", v.Name, "why", why)
+		}
+	}
+	return nil
+}
+
 // begin plans a release. Only one goes on at a time.
 func (g *registry) begin(r Release, who string) (string, error) {
 	if g.pacer != nil {
@@ -258,7 +318,13 @@
 	none := b.cfg.Function(ask.Function)
 	b.reg.mu.Lock()
 	defer b.reg.mu.Unlock()
-	bound, err := b.reg.reg.Bind(ask.Function, ask.Type, ask.Tenant, ask.Identity.String())
+	text := ask.Function
+	if was, ok := b.reg.bound.Get(ask.Identity); ok {
+		if ref, err := handlers.ParseRef(text); err == nil && ref.Function == was.Function && b.reg.reg.May(was.Function, digest.Digest(was.Digest)) {
+			text = was.ID
+		}
+	}
+	bound, err := b.reg.reg.Bind(text, ask.Type, ask.Tenant, ask.Identity.String())
 	if err != nil {
 		ref, perr := handlers.ParseRef(ask.Function)
 		if perr != nil || errors.Is(err, handlers.ErrUnknown) && !b.reg.reg.Knows(ref.Function) && ref.Tag == handlers.Current && ref.Digest == "" {
@@ -276,5 +342,7 @@
 	if bound.Load > 0 {
 		fn.Load = bound.Load
 	}
-	return gateway.Binding{ID: bound.ID(), Function: bound.Function, Version: bound.Name, Digest: string(bound.Digest)}, fn, nil
+	out := gateway.Binding{ID: bound.ID(), Function: bound.Function, Version: bound.Name, Digest: string(bound.Digest)}
+	b.reg.bound.Add(ask.Identity, out)
+	return out, fn, nil
 }
--- a/appliance/registry_test.go
+++ b/appliance/registry_test.go
@@ -1,10 +1,14 @@
 package appliance
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +17,7 @@
 	"github.com/opencontainers/go-digest"
 
 	"streamcleat/handlers"
+	"streamcleat/handlers/trust"
 	"streamcleat/referee"
 	"streamcleat/standin"
 	"streamcleat/timers"
@@ -225,3 +230,94 @@
 		t.Errorf("%d load orders for two versions", ordered)
 	}
 }
+
+// With a ring of keys only what they vouch for is published; what a revoked key vouched for is withdrawn, and what a
+// retired one did stays.
+func TestKeysVouchForVersions(t *testing.T) {
+	tape := referee.NewTape()
+	r := newRunningWith(t, 1, "", tape)
+	r.more = `"handlers":{"keys":"keys.json"},`
+	ring := trust.Ring{Need: 1}
+	private := map[string][]byte{}
+	write := func() {
+		data, _ := json.Marshal(ring)
+		if err := os.WriteFile(filepath.Join(r.dir, "keys.json"), data, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, id := range []string{"first", "second"} {
+		seed := make([]byte, 32)
+		seed[0] = byte(i)
+		p, k, err := trust.NewKey(id, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		private[id], ring.Keys = p, append(ring.Keys, k)
+	}
+	write()
+	r.start()
+	publish := func(n int, by string) int {
+		name, d := version(n)
+		ch := Change{Entry: handlers.Entry{Who: "test", Publish: &handlers.Version{Function: "tally", Name: name, Digest: d, Signed: []string{"first"}}}}
+		if by != "" {
+			e, err := trust.Sign(by, private[by], "tally", name, d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ch.Signatures = [][]byte{e}
+		}
+		data, _ := json.Marshal(ch)
+		resp, err := r.http.Post("http://box/v1/registry", "application/json", bytes.NewReader(data))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if publish(0, "") == 200 {
+		t.Error("published with nobody's word but its own")
+	}
+	if a, b := publish(0, "first"), publish(1, "second"); a != 200 || b != 200 {
+		t.Fatal(a, b)
+	}
+	r.alias(1)
+	r.alias(0)
+	if o := r.ask(tape, "again", "tally", "signed"); o.Status != 200 {
+		t.Errorf("%+v", o)
+	}
+	ring.Keys[1].Until = time.Now().Add(-time.Second) // retired: it vouches for nothing new
+	ring.Keys[0].Revoked = true
+	write()
+	_, d1 := version(1)
+	r.wait("the alias left the version of the revoked key", func() bool {
+		var list []handlers.View
+		r.get("registry", &list)
+		return list[0].Aliases["current"] == d1 && list[0].Versions[0].Withdrawn && !list[0].Versions[1].Withdrawn
+	})
+	if o := r.ask(tape, "again", "tally", "after"); o.Status != 200 || o.Digest != string(d1) {
+		t.Errorf("%+v", o)
+	}
+	if publish(2, "second") == 200 {
+		t.Error("a retired key vouched for something new")
+	}
+}
+
+// A repeat that comes to the other front end keeps the version of its first try.
+func TestRepeatAtTheOtherFrontEndKeepsItsVersion(t *testing.T) {
+	tape := referee.NewTape()
+	r := newRunningWith(t, 2, "", tape)
+	r.listen = `["127.0.0.1:0","localhost:0"]`
+	r.start()
+	r.publish(0)
+	r.publish(1)
+	for n := range 10 {
+		r.alias(0)
+		r.addr = r.addrs[0]
+		first := r.ask(tape, "again", "tally", fmt.Sprint(n))
+		r.alias(1)
+		r.addr = r.addrs[1]
+		if again := r.ask(tape, "again", "tally", fmt.Sprint(n)); first.Status != 200 || again.Status != 200 || again.Digest != first.Digest {
+			t.Fatalf("%d: first %+v, again %+v", n, first, again)
+		}
+	}
+}
--- a/cmd/streamcleat/handler.go
+++ b/cmd/streamcleat/handler.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
+	"github.com/google/renameio/v2"
 	"github.com/opencontainers/go-digest"
 	"github.com/spf13/cobra"
 
@@ -14,12 +20,13 @@
 	"streamcleat/console"
 	"streamcleat/handlers"
 	"streamcleat/handlers/source"
+	"streamcleat/handlers/trust"
 )
 
 // handlerCommand holds what is done to the registry of functions.
 func handlerCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "handler", Short: "Versions of functions, the aliases that name them, and rollouts"}
-	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerRelease(), handlerBack(), handlerWithdraw(), handlerVerify(), handlerPull(),
+	cmd.AddCommand(handlerPublish(), handlerAlias(), handlerRoll(), handlerRelease(), handlerBack(), handlerWithdraw(), handlerVerify(), handlerPull(), handlerSign(), handlerKey(), handlerScrub(),
 		handlerList(), handlerShow(), handlerTrail())
 	return cmd
 }
@@ -107,6 +114,7 @@
 func handlerPublish() *cobra.Command {
 	var v handlers.Version
 	var sum, file, from, user string
+	var signatures []string
 	cmd := &cobra.Command{Use: "publish FUNCTION:VERSION", Short: "Add a version; versions never change", Args: cobra.ExactArgs(1)}
 	f := cmd.Flags()
 	f.StringVar(&sum, "digest", "", "sha256:... of its manifest")
@@ -117,17 +125,26 @@
 	f.Float64Var(&v.Memory, "memory", 0, "MB of one copy")
 	f.Float64Var(&v.Load, "load", 0, "usual seconds of a load")
 	f.StringSliceVar(&v.Types, "types", nil, "event types that it takes; none: all")
+	f.StringSliceVar(&signatures, "signature", nil, "envelope of handler sign; --from finds those that the registry has by itself")
 	return change(cmd, func(_ *console.Client, args []string) (appliance.Change, error) {
 		name, version, ok := strings.Cut(args[0], ":")
 		if !ok {
 			return appliance.Change{}, exit{2, fmt.Errorf("%q is not FUNCTION:VERSION", args[0])}
 		}
+		var envelopes [][]byte
+		for _, path := range signatures {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return appliance.Change{}, err
+			}
+			envelopes = append(envelopes, data)
+		}
 		if from != "" {
-			found, err := resolve(from, user, name, version)
+			found, more, err := resolve(from, user, name, version)
 			if err != nil {
 				return appliance.Change{}, err
 			}
-			return appliance.Change{Entry: handlers.Entry{Publish: &found}}, nil
+			return appliance.Change{Entry: handlers.Entry{Publish: &found}, Signatures: append(envelopes, more...)}, nil
 		}
 		v.Function, v.Name, v.Digest = name, version, digest.Digest(sum)
 		if file != "" {
@@ -137,28 +154,139 @@
 			}
 			v.Digest = digest.FromBytes(data)
 		}
-		return appliance.Change{Entry: handlers.Entry{Publish: &v}}, nil
+		return appliance.Change{Entry: handlers.Entry{Publish: &v}, Signatures: envelopes}, nil
 	})
 }
 
-// resolve asks an OCI registry for a version; what it reads on the way is not kept.
-func resolve(from, user, function, tag string) (v handlers.Version, err error) {
+// resolve asks an OCI registry for a version and for what vouches for it; what it reads on the way is not kept.
+func resolve(from, user, function, tag string) (v handlers.Version, signatures [][]byte, err error) {
 	dir, err := os.MkdirTemp("", "handler")
 	if err != nil {
-		return v, err
+		return v, nil, err
 	}
 	defer os.RemoveAll(dir)
 	folder, err := source.OpenFolder(dir, 64<<20)
 	if err != nil {
-		return v, err
+		return v, nil, err
 	}
 	c, err := source.NewClient(from, user, os.Getenv("STREAMCLEAT_REGISTRY_SECRET"), folder)
 	if err != nil {
-		return v, exit{2, err}
+		return v, nil, exit{2, err}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	return c.Resolve(ctx, function, tag)
+	if v, err = c.Resolve(ctx, function, tag); err != nil {
+		return v, nil, err
+	}
+	signatures, err = c.Signatures(ctx, function, v.Digest)
+	return v, signatures, err
+}
+
+// handlerSign makes an envelope in which a key vouches for a version.
+func handlerSign() *cobra.Command {
+	var sum, file, key, id, out string
+	cmd := &cobra.Command{Use: "sign FUNCTION:VERSION", Short: "Vouch for a version with a key", Args: cobra.ExactArgs(1)}
+	f := cmd.Flags()
+	f.StringVar(&sum, "digest", "", "sha256:... of its manifest")
+	f.StringVar(&file, "file", "", "manifest whose digest it is, in place of --digest")
+	f.StringVar(&key, "key", "", "private key, PEM")
+	f.StringVar(&id, "id", "", "the key's id in the ring; its file's name without .pem otherwise")
+	f.StringVarP(&out, "output", "o", "", "file for the envelope, DSSE JSON; standard output otherwise")
+	cmd.MarkFlagRequired("key")
+	cmd.RunE = func(_ *cobra.Command, args []string) error {
+		name, version, ok := strings.Cut(args[0], ":")
+		if !ok {
+			return exit{2, fmt.Errorf("%q is not FUNCTION:VERSION", args[0])}
+		}
+		d := digest.Digest(sum)
+		if file != "" {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				return err
+			}
+			d = digest.FromBytes(data)
+		}
+		private, err := os.ReadFile(key)
+		if err != nil {
+			return err
+		}
+		if id == "" {
+			id = strings.TrimSuffix(filepath.Base(key), ".pem")
+		}
+		envelope, err := trust.Sign(id, private, name, version, d)
+		if err != nil {
+			return exit{2, err}
+		}
+		if out == "" {
+			fmt.Println(string(envelope))
+			return nil
+		}
+		return renameio.WriteFile(out, envelope, 0o644)
+	}
+	return cmd
+}
+
+// handlerKey makes a pair of keys.
+func handlerKey() *cobra.Command {
+	return &cobra.Command{Use: "key ID", Short: "Make a key: ID.pem, kept secret, and its entry for the ring", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			seed := make([]byte, 32)
+			if _, err := rand.Read(seed); err != nil {
+				return err
+			}
+			private, k, err := trust.NewKey(args[0], seed)
+			if err != nil {
+				return exit{2, err}
+			}
+			f, err := os.OpenFile(args[0]+".pem", os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+			if err != nil {
+				return err
+			}
+			if _, err := f.Write(private); err != nil {
+				return errors.Join(err, f.Close())
+			}
+			if err := f.Close(); err != nil {
+				return err
+			}
+			enc := json.NewEncoder(os.Stdout)
+			enc.SetIndent("", "  ")
+			return enc.Encode(trust.Ring{Need: 1, Keys: []trust.Key{k}})
+		}}
+}
+
+// handlerScrub checks a content folder.
+func handlerScrub() *cobra.Command {
+	var dir string
+	var every time.Duration
+	cmd := &cobra.Command{Use: "scrub", Short: "Check a content folder against its digests; what is wrong is let go and fetched anew by the next pull", Args: cobra.NoArgs}
+	cmd.Flags().StringVar(&dir, "folder", "handlers", "folder of handler pull")
+	cmd.Flags().DurationVar(&every, "every", 0, "pass over what was read or written within this time")
+	cmd.RunE = func(*cobra.Command, []string) error {
+		if _, err := os.Stat(dir); err != nil {
+			return err
+		}
+		folder, err := source.OpenFolder(dir, math.MaxInt64)
+		if err != nil {
+			return err
+		}
+		looked, wrong := 0, 0
+		for began := time.Now(); ; looked++ {
+			d, right := folder.Scrub(max(every.Seconds(), time.Since(began).Seconds()+1e-3))
+			if d == "" {
+				break
+			}
+			if !right {
+				wrong++
+				fmt.Printf("%s is wrong and let go\n", d)
+			}
+		}
+		fmt.Printf("%d pieces checked, %d wrong\n", looked, wrong)
+		if wrong > 0 {
+			return fmt.Errorf("%d pieces were wrong", wrong)
+		}
+		return nil
+	}
+	return cmd
 }
 
 // handlerPull fetches a version's content into a folder, for workers that load from there.
--- a/cmd/streamcleat/handler_test.go
+++ b/cmd/streamcleat/handler_test.go
@@ -16,6 +16,7 @@
 	layer := []byte("the function")
 	d := r.Push("shop-001", map[string]string{"org.streamcleat.lanes": "2"}, [][]byte{layer}, "1.0")
 	d2 := r.Push("shop-001", map[string]string{"org.streamcleat.lanes": "3"}, [][]byte{layer, []byte("more")}, "1.1")
+	d3 := r.Push("shop-001", nil, nil, "1.2")
 	s := newSite(t, 1)
 	s.start()
 	run := func(args ...string) (string, error) {
@@ -47,6 +48,12 @@
 		{"pull shop-001@" + string(d) + " --from " + r.URL(), "3 pieces held, 14 bytes of layers fetched", true},
 		{"pull shop-001@" + string(d2) + " --from " + r.URL(), "4 pieces held, 4 bytes of layers fetched", true},
 		{"verify shop-001:1.0 handlers/sha256/" + d.Encoded(), "is shop-001:1.0", true},
+		{"key seal", "BEGIN PUBLIC KEY", true},
+		{"key seal", "exists", false},
+		{"sign shop-001:1.0 --digest " + string(d) + " --key seal.pem -o seal.json", "", true},
+		{"sign shop-001:1.0 --digest sha256:0 --key seal.pem", "digest", false},
+		{"publish shop-001:1.2 --digest " + string(d3) + " --signature seal.json", "published", true},
+		{"scrub", "5 pieces checked, 0 wrong", true},
 		{"verify shop-001:1.0 handlers/sha256/" + d2.Encoded(), "has digest " + string(d2), false},
 	} {
 		out, err := run(strings.Fields(c.args)...)
--- a/config/config.go
+++ b/config/config.go
@@ -94,6 +94,9 @@
 		Crontab string `json:"crontab"`
 		Source  string `json:"source"`
 	} `json:"timers"`
+	Handlers *struct {
+		Keys string `json:"keys"`
+	} `json:"handlers"`
 	Log struct {
 		Level string `json:"level"`
 		Form  string `json:"form"`
--- a/handlers/registry.go
+++ b/handlers/registry.go
@@ -26,6 +26,7 @@
 	Load      float64       `json:"load_s,omitempty"`
 	Types     []string      `json:"event_types,omitempty"` // that it takes; empty: all
 	Withdrawn bool          `json:"withdrawn,omitempty"`   // must not run any more
+	Signed    []string      `json:"signed_by,omitempty"`   // keys that vouched for it when it was published
 }
 
 // Ref is what events and people write: function, function:alias, function:version or function@digest.
--- a/handlers/source/client.go
+++ b/handlers/source/client.go
@@ -19,6 +19,7 @@
 	"oras.land/oras-go/v2/registry/remote/retry"
 
 	"streamcleat/handlers"
+	"streamcleat/handlers/trust"
 )
 
 // Annotations of a manifest that carry what the front end needs to know.
@@ -32,6 +33,9 @@
 const (
 	manifestMost = 4 << 20 // bytes of a manifest
 	layerTries   = 4       // reads of one layer that is cut off
+
+	mostSignatures = 32       // that are read of one version
+	signatureMost  = 64 << 10 // bytes of one
 )
 
 // Client reads versions from a registry.
@@ -52,13 +56,23 @@
 	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
 		return nil, fmt.Errorf("registry %q is not http://host or https://host", base)
 	}
-	t := retry.NewTransport(nil)
+	c := &Client{host: u.Host, plain: u.Scheme == "http", prefix: strings.Trim(u.Path, "/"), folder: folder, user: user, secret: secret}
+	c.over(http.DefaultTransport.RoundTrip)
+	return c, nil
+}
+
+// carrier is how requests travel.
+type carrier func(*http.Request) (*http.Response, error)
+
+func (f carrier) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func (c *Client) over(by carrier) {
+	t := retry.NewTransport(by)
 	t.Policy = func() retry.Policy {
 		return &retry.GenericPolicy{Retryable: retry.DefaultPredicate, Backoff: retry.DefaultBackoff, MinWait: 50 * time.Millisecond,
 			MaxWait: 2 * time.Second, MaxRetry: 4}
 	}
-	return &Client{host: u.Host, plain: u.Scheme == "http", prefix: strings.Trim(u.Path, "/"), folder: folder, user: user, secret: secret,
-		http: &http.Client{Transport: t, Timeout: 30 * time.Second}}, nil
+	c.http = &http.Client{Transport: t, Timeout: 30 * time.Second}
 }
 
 func (c *Client) repository(function string) (*remote.Repository, error) {
@@ -164,6 +178,52 @@
 	return nil, err
 }
 
+// Signatures reads the envelopes that refer to a version, by the registry's list of referrers; none where it has no
+// such list.
+func (c *Client) Signatures(ctx context.Context, function string, d digest.Digest) (list [][]byte, err error) {
+	repo, err := c.repository(function)
+	if err != nil {
+		return nil, err
+	}
+	subject, err := repo.Resolve(ctx, d.String())
+	if err != nil {
+		return nil, fmt.Errorf("%s@%s: %w", function, d, err)
+	}
+	err = repo.Referrers(ctx, subject, trust.PayloadType, func(found []ocispec.Descriptor) error {
+		for _, ref := range found {
+			if len(list) >= mostSignatures {
+				return nil
+			}
+			m, _, err := c.manifest(ctx, repo, ref.Digest)
+			if err != nil {
+				return err
+			}
+			for _, l := range m.Layers {
+				if l.MediaType != trust.EnvelopeType || l.Size > signatureMost {
+					continue
+				}
+				data, err := c.read(ctx, func() ([]byte, error) {
+					r, err := repo.Blobs().Fetch(ctx, l)
+					if err != nil {
+						return nil, err
+					}
+					defer r.Close()
+					return content.ReadAll(r, l)
+				})
+				if err != nil {
+					return err
+				}
+				list = append(list, data)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%s@%s: referrers: %w", function, d, err)
+	}
+	return list, nil
+}
+
 // Pull fetches a version's layers into the folder; those that are there are not fetched again. It returns their
 // digests, the manifest's first.
 func (c *Client) Pull(ctx context.Context, function string, d digest.Digest) ([]digest.Digest, error) {
--- a/handlers/source/source_test.go
+++ b/handlers/source/source_test.go
@@ -4,14 +4,19 @@
 	"bytes"
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/opencontainers/go-digest"
 	"pgregory.net/rapid"
 
+	"streamcleat/handlers/trust"
 	"streamcleat/standin"
 )
 
@@ -235,3 +240,66 @@
 		}
 	})
 }
+
+func TestReferrersOfAVersion(t *testing.T) {
+	r := registry(t)
+	d := r.Push("shops/tally", nil, [][]byte{layer}, "current")
+	c, _ := at(t, r, 1<<20)
+	if list, err := c.Signatures(context.Background(), "tally", d); err != nil || len(list) != 0 {
+		t.Error(list, err)
+	}
+	r.Attach(d, trust.PayloadType, trust.EnvelopeType, []byte("envelope"))
+	r.Attach(d, trust.PayloadType, "text/plain", []byte("something else"))
+	r.Attach(d, "application/vnd.other", trust.EnvelopeType, []byte("another artifact"))
+	if list, err := c.Signatures(context.Background(), "tally", d); err != nil || len(list) != 1 || string(list[0]) != "envelope" {
+		t.Errorf("%q %v", list, err)
+	}
+	r.Break(0, 0, 1000, 500)
+	if _, err := c.Signatures(context.Background(), "tally", d); err == nil {
+		t.Error("a registry in trouble passes for one without signatures")
+	}
+}
+
+// Ten minutes without registry, on a virtual clock: each pull gives up in bounded time, what is held serves, and the
+// first pull after it succeeds.
+func TestTenMinutesWithoutRegistry(t *testing.T) {
+	r := registry(t)
+	d, next := r.Push("shops/tally", map[string]string{"v": "1"}, [][]byte{layer}), r.Push("shops/tally", map[string]string{"v": "2"}, [][]byte{[]byte("two")})
+	c, _ := at(t, r, 1<<20)
+	synctest.Test(t, func(t *testing.T) {
+		began, tries := time.Now(), 0
+		gone := true
+		c.over(func(req *http.Request) (*http.Response, error) { // handed to the stand-in in place of a connection
+			if gone {
+				tries++
+				return nil, syscall.ECONNREFUSED
+			}
+			w := httptest.NewRecorder()
+			r.ServeHTTP(w, req)
+			resp := w.Result()
+			resp.Request = req
+			return resp, nil
+		})
+		gone = false
+		if _, err := c.Pull(t.Context(), "tally", d); err != nil {
+			t.Fatal(err)
+		}
+		for gone = true; time.Since(began) < 10*time.Minute; time.Sleep(20 * time.Second) {
+			at := time.Now()
+			if _, err := c.Pull(t.Context(), "tally", next); !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Fatal(err)
+			}
+			if took := time.Since(at); took > 10*time.Second {
+				t.Fatalf("a pull took %v to give up", took)
+			}
+			if _, err := c.Pull(t.Context(), "tally", d); err != nil {
+				t.Fatal("what is held does not serve: ", err)
+			}
+		}
+		gone = false
+		if held, err := c.Pull(t.Context(), "tally", next); err != nil || len(held) != 3 {
+			t.Error(held, err)
+		}
+		t.Logf("%d requests refused in %v", tries, time.Since(began))
+	})
+}
--- a/standin/registry.go
+++ b/standin/registry.go
@@ -19,6 +19,7 @@
 	server *httptest.Server
 	tags   map[string]digest.Digest // repository:tag
 	blobs  map[digest.Digest][]byte
+	refers map[digest.Digest][]ocispec.Descriptor // by subject
 	user   string
 	secret string
 	cut    int // answers of content that are cut off in the middle
@@ -71,8 +72,9 @@
 
 // NewRegistry starts one. Where user is not empty it asks for it.
 func NewRegistry(user, secret string) *Registry {
-	r := &Registry{tags: map[string]digest.Digest{}, blobs: map[digest.Digest][]byte{}, user: user, secret: secret}
-	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
+	r := &Registry{tags: map[string]digest.Digest{}, blobs: map[digest.Digest][]byte{},
+		refers: map[digest.Digest][]ocispec.Descriptor{}, user: user, secret: secret}
+	r.server = httptest.NewServer(r)
 	return r
 }
 
@@ -107,6 +109,25 @@
 	return d
 }
 
+// Attach adds an artifact of one layer that refers to a manifest.
+func (r *Registry) Attach(subject digest.Digest, artifactType, layerType string, data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	layer := digest.FromBytes(data)
+	r.blobs[layer], r.blobs[ocispec.DescriptorEmptyJSON.Digest] = data, []byte("{}")
+	m := ocispec.Manifest{MediaType: ocispec.MediaTypeImageManifest, ArtifactType: artifactType, Config: ocispec.DescriptorEmptyJSON,
+		Layers:  []ocispec.Descriptor{{MediaType: layerType, Digest: layer, Size: int64(len(data))}},
+		Subject: &ocispec.Descriptor{MediaType: ocispec.MediaTypeImageManifest, Digest: subject, Size: int64(len(r.blobs[subject]))}}
+	m.SchemaVersion = 2
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	d := digest.FromBytes(text)
+	r.blobs[d] = text
+	r.refers[subject] = append(r.refers[subject], ocispec.Descriptor{MediaType: m.MediaType, ArtifactType: artifactType, Digest: d, Size: int64(len(text))})
+}
+
 // Untag deletes a tag.
 func (r *Registry) Untag(repository, tag string) {
 	r.mu.Lock()
@@ -122,7 +143,8 @@
 	r.mu.Unlock()
 }
 
-func (r *Registry) serve(w http.ResponseWriter, req *http.Request) {
+// ServeHTTP implements http.Handler.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.allowed(w, req) {
@@ -144,6 +166,12 @@
 	} else if _, ref, ok := strings.Cut(path, "/blobs/"); ok {
 		d = digest.Digest(ref)
 		w.Header().Set("Content-Type", "application/octet-stream")
+	} else if _, ref, ok := strings.Cut(path, "/referrers/"); ok {
+		w.Header().Set("Content-Type", ocispec.MediaTypeImageIndex)
+		index := ocispec.Index{MediaType: ocispec.MediaTypeImageIndex, Manifests: append([]ocispec.Descriptor{}, r.refers[digest.Digest(ref)]...)}
+		index.SchemaVersion = 2
+		json.NewEncoder(w).Encode(index)
+		return
 	} else if path == "" {
 		return
 	}
