A front end without sockets or clock in its own package; netloop only carries

frontend has sessions, core, pool, the list in force and what waits for the disk; it is called with what came in and calls out through Host (clock, timer, dials, datagrams) and Conn. netloop implements both on gnet. Clients are swept in a fixed order. Core.Check and Front.Check tell of state that contradicts itself.

--- a/appliance/box.go
+++ b/appliance/box.go
@@ -17,6 +17,7 @@
 
 	"streamcleat/config"
 	"streamcleat/durable"
+	"streamcleat/frontend"
 	"streamcleat/gateway"
 	"streamcleat/netloop"
 	"streamcleat/telemetry"
@@ -337,9 +338,9 @@
 		}
 		core := c.Core(rand.Uint64())
 		core.Bind, core.MayRun = b.bind, b.reg.mayRun
-		set := netloop.Settings{Name: name, Listen: addr, WorkersFile: c.Path(c.Workers.File), Core: core,
+		set := netloop.Settings{Listen: addr, WorkersFile: c.Path(c.Workers.File), Settings: frontend.Settings{Name: name, Core: core,
 			Pool: c.Pool(name), Front: c.Front(), MostConns: c.Limits.Connections, Log: b.log, Kept: b.found.Events, Known: b.found.Known,
-			Ended: b.note, KeepWithin: time.Duration(c.Limits.Margin / 2 * float64(time.Second))}
+			Ended: b.note, KeepWithin: c.Limits.Margin / 2}}
 		if b.store != nil {
 			set.Keeper = b.store
 		}
--- a/drill/bench.go
+++ b/drill/bench.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"streamcleat/config"
+	"streamcleat/frontend"
 	"streamcleat/netloop"
 )
 
@@ -58,8 +59,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f, err := netloop.Start(netloop.Settings{Name: "front", Listen: "127.0.0.1:0", WorkersFile: list, Core: c.Core(1),
-		Pool: c.Pool("front"), Front: c.Front(), MostConns: 1000})
+	f, err := netloop.Start(netloop.Settings{Listen: "127.0.0.1:0", WorkersFile: list, Settings: frontend.Settings{Name: "front", Core: c.Core(1),
+		Pool: c.Pool("front"), Front: c.Front(), MostConns: 1000}})
 	if err != nil {
 		return nil, err
 	}
--- a/drill/bench_state.go
+++ b/drill/bench_state.go
@@ -10,6 +10,7 @@
 
 	"streamcleat/config"
 	"streamcleat/durable"
+	"streamcleat/frontend"
 	"streamcleat/gateway"
 	"streamcleat/netloop"
 )
@@ -65,8 +66,8 @@
 	for _, n := range conns {
 		none := 0.0
 		for way, name := range []string{"no store", "a sync for each note", "group commit", "no waiting for the disk"} {
-			set := netloop.Settings{Name: "front", Listen: "127.0.0.1:0", WorkersFile: list, Core: c.Core(1), Pool: c.Pool("front"),
-				Front: c.Front(), MostConns: 1000}
+			set := netloop.Settings{Listen: "127.0.0.1:0", WorkersFile: list, Settings: frontend.Settings{Name: "front", Core: c.Core(1),
+				Pool: c.Pool("front"), Front: c.Front(), MostConns: 1000}}
 			var store *durable.Store
 			if way > 0 {
 				folder := filepath.Join(dir, fmt.Sprintf("state-%d-%d", n, way))
--- a/drill/run.go
+++ b/drill/run.go
@@ -18,6 +18,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"streamcleat/config"
+	"streamcleat/frontend"
 	"streamcleat/gateway"
 	"streamcleat/netloop"
 	"streamcleat/referee"
@@ -257,14 +258,14 @@
 			core.Bind, core.MayRun = d.reg.bind(i, c.Function), d.reg.mayRun(i)
 		}
 		name := fmt.Sprintf("front-%d", i)
-		set := netloop.Settings{Name: name, Listen: c.Listen[0], Cluster: "drill", WorkersFile: path, Core: core, Pool: c.Pool(name),
-			Front: c.Front(), MostConns: c.Limits.Connections, Log: d.log, Ended: func(a gateway.Answer, _ *gateway.Trace) {
+		set := netloop.Settings{Listen: c.Listen[0], WorkersFile: path, Settings: frontend.Settings{Name: name, Cluster: "drill", Core: core,
+			Pool: c.Pool(name), Front: c.Front(), MostConns: c.Limits.Connections, Log: d.log, Ended: func(a gateway.Answer, _ *gateway.Trace) {
 				if a.Kind != gateway.Handled {
 					d.mu.Lock()
 					d.causes[a.Cause.String()]++
 					d.mu.Unlock()
 				}
-			}}
+			}}}
 		if s.FrontEnds > 1 {
 			set.PeerListen = peers[i]
 			for k, p := range peers {
--- /dev/null
+++ b/frontend/front.go
@@ -0,0 +1,524 @@
+// Package frontend is one front end without its sockets and its clock: the clients' sessions, the core, the
+// connections to workers, the list of workers, and what waits for the disk. It is called on one goroutine, with what
+// came in, and calls out through Host. netloop gives it real sockets; sim gives it a world of its own. Where an event
+// runs is decided in control and nowhere here.
+package frontend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"log/slog"
+	"slices"
+	"time"
+
+	"streamcleat/control"
+	fronthttp "streamcleat/front/http"
+	"streamcleat/gateway"
+	"streamcleat/workers"
+)
+
+// Settings of one front end. Times are seconds.
+type Settings struct {
+	Name       string // for Proxy-Status and logs
+	Cluster    string // datagrams of another cluster are dropped
+	Core       gateway.Settings
+	Pool       workers.Limits
+	Front      fronthttp.Limits
+	MostConns  int // client connections; past it new ones are closed
+	Log        *slog.Logger
+	Keeper     Keeper                               // keeps what must outlive the process; nil: nothing does
+	KeepWithin float64                              // an answer waits no longer than this for its note
+	Kept       []gateway.Kept                       // what an earlier process noted
+	Known      []gateway.Known                      // copies that it believed in, with their ages at the start
+	Ended      func(gateway.Answer, *gateway.Trace) // called on the loop for each ended event; may be nil
+}
+
+// Keeper keeps notes on disk.
+type Keeper interface {
+	// Commit keeps notes and then calls done once, from any goroutine. A Front has one commit out at a time; what is
+	// noted meanwhile goes into the next.
+	Commit(notes []gateway.Note, done func(error))
+}
+
+// Host is what a front end stands on.
+type Host interface {
+	Now() float64    // seconds that never go back
+	Wall() time.Time // time of day; it may jump
+	Wake(at float64) // Tick is wanted then; an earlier wish is void
+	After(seconds float64, f func())
+	Post(f func())                     // runs f on the front end's goroutine, soon; from any goroutine
+	Dial(no workers.Conn, addr string) // Dialed follows, at once or later
+	Tell(datagram []byte)              // to every other front end; a datagram may be lost
+}
+
+// Conn is one connection as the host has it. Close is final: nothing is told of it after.
+type Conn interface {
+	Write(data []byte)
+	Close()
+	Shut()       // closes our side behind what was written; the other side is still read
+	Unsent() int // bytes written that have not left
+	Name() string
+}
+
+// Client is one client connection.
+type Client struct {
+	c       Conn
+	at      int // in the list of clients
+	session *fronthttp.Session
+	slots   map[uint64]gateway.Asker
+	dirty   bool
+	shut    float64 // when our side was closed; 0 before
+	gone    bool
+}
+
+// op is something that the pool asked to be done on a connection.
+type op struct {
+	conn  workers.Conn
+	data  []byte
+	close bool
+}
+
+type source struct {
+	cl   *Client
+	slot uint64
+}
+
+// Front is the state of one front end.
+type Front struct {
+	set      Settings
+	host     Host
+	log      *slog.Logger
+	core     *gateway.Core
+	pool     *workers.Pool
+	listed   *workers.Listed           // as the file has it
+	offset   float64                   // from Unix seconds to the host's clock, when it was read
+	list     *workers.Listed           // in force
+	drained  map[control.WorkerID]bool // by order
+	unload   uint64                    // numbers of unload orders, from the top down
+	clients  []*Client
+	backends map[workers.Conn]Conn
+	askers   map[gateway.Asker]source
+	inside   map[gateway.Asker]func(gateway.Answer) // askers within the process
+	asker    gateway.Asker
+	ops      []op
+	keep     keep
+	lost     []gateway.Answer
+	born     float64 // on the clock
+	dirty    []*Client
+	settling bool
+	draining bool
+	armed    float64
+	header   [8]byte // of datagrams
+}
+
+const lingerFor = 1.0 // seconds for which a client may still read after the last answer
+
+// SweepEvery is the pause, in seconds, at which Sweep wants to be called.
+const SweepEvery = 0.1
+
+// New makes a front end that serves from now on.
+func New(set Settings, host Host) *Front {
+	if set.Log == nil {
+		set.Log = slog.New(slog.DiscardHandler)
+	}
+	f := &Front{set: set, host: host, log: set.Log, backends: map[workers.Conn]Conn{}, askers: map[gateway.Asker]source{},
+		inside: map[gateway.Asker]func(gateway.Answer){}, drained: map[control.WorkerID]bool{}, born: host.Now()}
+	copy(f.header[:], "SCL1")
+	sum := crc32.ChecksumIEEE([]byte(set.Cluster))
+	f.header[4], f.header[5], f.header[6], f.header[7] = byte(sum), byte(sum>>8), byte(sum>>16), byte(sum>>24)
+	f.pool = workers.NewPool(set.Pool, (*wire)(f), (*sink)(f))
+	f.core = gateway.New(set.Core, (*outside)(f), f.born)
+	f.lost = f.core.Restore(f.born, set.Kept)
+	f.set.Kept = nil
+	f.arm()
+	return f
+}
+
+// Lost are events of an earlier process that may have run and must not run again; nobody was told how they ended.
+func (f *Front) Lost() []gateway.Answer { return f.lost }
+
+// Core is the front end's core; whoever changes it calls Settle.
+func (f *Front) Core() *gateway.Core { return f.core }
+
+// Conns are the connections to clients and workers.
+func (f *Front) Conns() (clients, backends int) { return len(f.clients), f.pool.Conns() }
+
+// Take takes an event from within the process; answer is called exactly once, on the front end's goroutine.
+func (f *Front) Take(ask gateway.Ask, answer func(gateway.Answer)) {
+	f.asker++
+	f.inside[f.asker] = answer
+	f.core.Take(f.host.Now(), f.asker, ask)
+	f.Settle()
+}
+
+// Tick fires what has come due.
+func (f *Front) Tick() {
+	f.armed = 0
+	f.core.Tick(f.host.Now())
+	f.Settle()
+}
+
+func (f *Front) arm() {
+	if at := f.core.Next(); f.armed == 0 || at != f.armed {
+		f.armed = at
+		f.host.Wake(at)
+	}
+}
+
+// Settle carries out what the pool and the core asked for since, until nothing is left. Whatever happens on a
+// connection meanwhile may ask for more; it is not entered anew.
+func (f *Front) Settle() {
+	if f.settling {
+		return
+	}
+	f.settling = true
+	for len(f.ops) > 0 || len(f.dirty) > 0 || f.pool.Pending() {
+		f.pool.Flush()
+		f.commit()
+		ops := f.ops
+		f.ops = nil
+		for _, o := range ops {
+			f.carry(o)
+		}
+		dirty := f.dirty
+		f.dirty = nil
+		for _, cl := range dirty {
+			cl.dirty = false
+			cl.session.Advance(f.host.Now())
+			f.send(cl)
+		}
+	}
+	f.commit()
+	f.settling = false
+	f.arm()
+}
+
+func (f *Front) carry(o op) {
+	c := f.backends[o.conn]
+	if c == nil {
+		return
+	}
+	if o.close {
+		delete(f.backends, o.conn)
+		c.Close()
+		return
+	}
+	c.Write(o.data)
+}
+
+func (f *Front) mark(cl *Client) {
+	if !cl.dirty {
+		cl.dirty = true
+		f.dirty = append(f.dirty, cl)
+	}
+}
+
+// send writes what a session has to say and closes it behind its last answer.
+func (f *Front) send(cl *Client) {
+	if cl.gone {
+		return
+	}
+	if out := cl.session.Output(); len(out) > 0 {
+		cl.c.Write(out)
+		if cl.gone {
+			return // the write broke it
+		}
+		if cl.c.Unsent() > f.set.Front.Unread {
+			f.log.Warn("client does not read its answers", "client", cl.c.Name())
+			f.closeClient(cl)
+			return
+		}
+	}
+	if cl.session.Done() && cl.shut == 0 && cl.c.Unsent() == 0 {
+		// The client may still be sending: a close now could take the answer from it (RFC 9112 9.6).
+		cl.shut = f.host.Now()
+		cl.c.Shut()
+	}
+}
+
+// Accept takes a client's connection, or nil where there is no room for it and it is to be closed.
+func (f *Front) Accept(c Conn) *Client {
+	if f.draining || len(f.clients) >= f.set.MostConns {
+		return nil
+	}
+	cl := &Client{c: c, at: len(f.clients), slots: map[uint64]gateway.Asker{}}
+	cl.session = fronthttp.NewSession(f.set.Front, f.set.Name, &taker{f, cl}, f.host.Now())
+	f.clients = append(f.clients, cl)
+	return cl
+}
+
+// FromClient takes bytes from a client.
+func (f *Front) FromClient(cl *Client, data []byte) {
+	if cl.gone {
+		return
+	}
+	if cl.shut == 0 {
+		cl.session.Feed(f.host.Now(), f.host.Wall(), data)
+		f.mark(cl)
+	}
+	f.Settle()
+}
+
+// ClientGone tells that a client's connection closed or broke.
+func (f *Front) ClientGone(cl *Client) {
+	if f.forget(cl) {
+		f.Settle()
+	}
+}
+
+func (f *Front) closeClient(cl *Client) {
+	if f.forget(cl) {
+		cl.c.Close()
+	}
+}
+
+func (f *Front) forget(cl *Client) bool {
+	if cl.gone {
+		return false
+	}
+	cl.gone = true
+	last := len(f.clients) - 1
+	f.clients[cl.at], f.clients[last].at = f.clients[last], cl.at
+	f.clients[last] = nil
+	f.clients = f.clients[:last]
+	cl.session.Gone()
+	return true
+}
+
+// Dialed tells how a dial ended: with a connection or an error.
+func (f *Front) Dialed(no workers.Conn, c Conn, err error) {
+	if err == nil {
+		f.backends[no] = c
+	}
+	f.pool.Dialed(f.host.Now(), no, err)
+	f.Settle()
+}
+
+// FromWorker takes bytes from a worker.
+func (f *Front) FromWorker(no workers.Conn, data []byte) {
+	if f.backends[no] == nil {
+		return
+	}
+	f.pool.Data(f.host.Now(), no, data)
+	f.Settle()
+}
+
+// WorkerGone tells that a connection to a worker closed or broke.
+func (f *Front) WorkerGone(no workers.Conn) {
+	if f.backends[no] == nil {
+		return
+	}
+	delete(f.backends, no)
+	f.pool.Closed(f.host.Now(), no)
+	f.Settle()
+}
+
+// Heard takes a datagram: "SCL1", the cluster's checksum, and a message of the decisions.
+func (f *Front) Heard(data []byte) {
+	if len(data) >= 8 && [8]byte(data[:8]) == f.header {
+		f.core.Told(f.host.Now(), data[8:])
+		f.Settle()
+	}
+}
+
+// Sweep looks at idle and slow connections.
+func (f *Front) Sweep() {
+	now := f.host.Now()
+	f.pool.Tick(now)
+	for i := len(f.clients) - 1; i >= 0; i-- { // from the end: one that goes is replaced by one that was looked at
+		cl := f.clients[i]
+		if cl.shut > 0 && now-cl.shut > lingerFor {
+			f.closeClient(cl)
+			continue
+		}
+		if cl.session.Tick(now) {
+			f.mark(cl)
+		}
+	}
+	f.Settle()
+}
+
+// CloseDoors takes no more connections and events; what is open goes on.
+func (f *Front) CloseDoors() {
+	f.draining = true
+	f.core.Stop(f.host.Now())
+	for _, cl := range f.clients {
+		cl.session.Drain()
+		f.mark(cl)
+	}
+	f.Settle()
+}
+
+// Finish answers at once whatever is open, after CloseDoors.
+func (f *Front) Finish() {
+	f.core.Finish(f.host.Now())
+	f.Settle()
+}
+
+// Kept tells that everything noted is on disk and that what waited for it has left.
+func (f *Front) Kept() bool {
+	return !f.keep.busy && len(f.keep.notes) == 0 && len(f.keep.held) == 0
+}
+
+// Hang closes all connections to workers, after Finish.
+func (f *Front) Hang() {
+	f.pool.CloseAll(f.host.Now())
+	f.Settle()
+}
+
+// Check tells of state that contradicts itself; it is for tests and the simulation.
+func (f *Front) Check() error {
+	errs := []error{f.core.Check(), f.pool.Check()}
+	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	if n := len(f.dirty) + len(f.ops); n > 0 {
+		fault("%d things are left to be carried out", n)
+	}
+	slots := 0
+	for i, cl := range f.clients {
+		if cl.at != i || cl.gone {
+			fault("client %d is out of place", i)
+		}
+		for slot, a := range cl.slots {
+			slots++
+			if f.askers[a] != (source{cl, slot}) {
+				fault("asker %d of a client is not known", a)
+			}
+		}
+	}
+	if slots != len(f.askers) {
+		fault("%d askers, %d of them of open connections", len(f.askers), slots)
+	}
+	if n := f.core.Askers(); n > slots+len(f.inside) || !f.keep.busy && len(f.keep.held) == 0 && n != slots+len(f.inside) {
+		fault("the core knows %d askers, connections %d and the process %d", n, slots, len(f.inside))
+	}
+	if n := f.pool.Conns(); len(f.backends) > n {
+		fault("%d connections to workers, the pool knows %d", len(f.backends), n)
+	}
+	if len(f.keep.held) > 0 && len(f.keep.notes) == 0 || !f.keep.busy && len(f.keep.out)+len(f.keep.notes) > 0 {
+		fault("something waits for a note that nobody keeps")
+	}
+	return errors.Join(errs...)
+}
+
+// taker hands one client connection's events to the core.
+type taker struct {
+	f  *Front
+	cl *Client
+}
+
+func (t *taker) Take(slot uint64, ask gateway.Ask) {
+	f := t.f
+	f.asker++
+	f.askers[f.asker] = source{t.cl, slot}
+	t.cl.slots[slot] = f.asker
+	f.core.Take(f.host.Now(), f.asker, ask)
+}
+
+func (t *taker) HungUp(slot uint64) {
+	if a, ok := t.cl.slots[slot]; ok {
+		delete(t.cl.slots, slot)
+		delete(t.f.askers, a)
+		t.f.core.HungUp(t.f.host.Now(), a)
+	}
+}
+
+// outside carries out what the core asks for.
+type outside Front
+
+func (o *outside) Answer(to gateway.Asker, a gateway.Answer) {
+	f := (*Front)(o)
+	switch k := &f.keep; { // its note waits for the next commit, or is in the one that is out, or is kept
+	case !a.Firm || f.set.Keeper == nil:
+		f.answer(to, a)
+	case len(k.notes) > 0:
+		k.held = append(k.held, held{answer: a, to: to})
+	case k.busy:
+		k.out = append(k.out, held{answer: a, to: to})
+	default:
+		f.answer(to, a)
+	}
+}
+
+func (f *Front) answer(to gateway.Asker, a gateway.Answer) {
+	if tell := f.inside[to]; tell != nil {
+		delete(f.inside, to)
+		tell(a)
+		return
+	}
+	src, ok := f.askers[to]
+	if !ok {
+		return
+	}
+	delete(f.askers, to)
+	delete(src.cl.slots, src.slot)
+	src.cl.session.Answer(f.host.Now(), src.slot, a)
+	f.mark(src.cl)
+}
+
+func (o *outside) Launch(l gateway.Launch) {
+	if l.Firm && o.set.Keeper != nil {
+		o.keep.held = append(o.keep.held, held{launch: &l})
+		return
+	}
+	o.pool.Launch(o.host.Now(), l)
+}
+
+func (o *outside) Load(order gateway.Order) { o.pool.Load(o.host.Now(), order) }
+
+func (o *outside) Abandon(job uint64) {
+	o.keep.abandon(job)
+	o.pool.Abandon(o.host.Now(), job)
+}
+
+func (o *outside) Keep(n gateway.Note) {
+	if o.set.Keeper != nil {
+		o.keep.notes = append(o.keep.notes, n)
+	}
+}
+
+func (o *outside) Tell(message []byte) {
+	o.host.Tell(append(append(make([]byte, 0, 8+len(message)), o.header[:]...), message...))
+}
+
+func (o *outside) Ended(a gateway.Answer, t *gateway.Trace) {
+	if o.set.Ended != nil {
+		o.set.Ended(a, t)
+	}
+	if o.log.Enabled(context.Background(), slog.LevelDebug) || a.Kind != gateway.Handled {
+		level := o.log.Debug
+		if a.Kind != gateway.Handled {
+			level = o.log.Info
+		}
+		level("event ended", "event", a.Identity.String(), "outcome", a.Kind.String(), "cause", a.Cause.String(),
+			"function", a.FunctionID, "worker", a.Worker, "launches", a.Launches, "seconds", a.After)
+	}
+}
+
+// sink takes what workers answered.
+type sink Front
+
+func (k *sink) Launched(job uint64, r gateway.Reply) { k.core.Launched(k.host.Now(), job, r) }
+
+func (k *sink) Loaded(job uint64, res control.Result, copies int) {
+	k.core.Loaded(k.host.Now(), job, res, copies)
+}
+
+// wire carries the pool's bytes. Writes and closes wait until the pool's call is over.
+type wire Front
+
+func (w *wire) Write(c workers.Conn, data []byte) { w.ops = append(w.ops, op{conn: c, data: data}) }
+
+func (w *wire) Close(c workers.Conn) { w.ops = append(w.ops, op{conn: c, close: true}) }
+
+func (w *wire) Dial(no workers.Conn, addr string) { w.host.Dial(no, addr) }
+
+// Drained are the workers that an order drains.
+func (f *Front) Drained() (list []string) {
+	for id := range f.drained {
+		list = append(list, string(id))
+	}
+	slices.Sort(list)
+	return
+}
--- /dev/null
+++ b/frontend/list.go
@@ -0,0 +1,130 @@
+package frontend
+
+import (
+	"slices"
+
+	"streamcleat/control"
+	"streamcleat/gateway"
+	"streamcleat/workers"
+)
+
+// ReadList takes the text of the worker list. A faulty one leaves the last good one in force.
+func (f *Front) ReadList(data []byte) error {
+	f.offset = f.host.Now() - float64(f.host.Wall().UnixNano())/1e9
+	list, err := workers.ReadList(data, f.offset)
+	if err != nil {
+		return err
+	}
+	f.steady(list)
+	f.listed = list
+	f.relist()
+	return nil
+}
+
+// steady keeps the start times of an earlier reading where they mean the same: the clocks drift apart by parts of
+// a second, and a worker must not seem to have started anew for that.
+func (f *Front) steady(list *workers.Listed) {
+	if f.listed == nil {
+		return
+	}
+	was := make(map[control.WorkerID]float64, len(f.listed.Workers))
+	for _, wk := range f.listed.Workers {
+		was[wk.ID] = wk.Born
+	}
+	for i := range list.Workers {
+		wk := &list.Workers[i]
+		if old, ok := was[wk.ID]; ok {
+			if d := old - wk.Born; d > -0.5 && d < 0.5 {
+				wk.Born = old
+			}
+		}
+	}
+}
+
+// relist puts the list in force that the file and the operators' orders make together.
+func (f *Front) relist() {
+	if f.listed == nil {
+		return
+	}
+	list := &workers.Listed{Workers: slices.Clone(f.listed.Workers), Address: f.listed.Address}
+	for i := range list.Workers {
+		if f.drained[list.Workers[i].ID] {
+			list.Workers[i].Phase = control.Draining
+		}
+	}
+	change := workers.Change(f.list, list)
+	f.list = list
+	f.pool.List(list)
+	if len(change) > 0 {
+		f.core.Workers(f.host.Now(), false, change)
+		f.recall()
+		f.log.Info("list of workers", "workers", len(list.Workers), "changed", len(change))
+	}
+	f.Settle()
+}
+
+// recall hands on, with the first list, what an earlier process knew of workers that have not started anew since.
+func (f *Front) recall() {
+	known := f.set.Known
+	f.set.Known = nil
+	for _, k := range known {
+		k.Age += f.host.Now() - f.born
+		if d := f.started(control.WorkerID(k.Worker)) - k.Started; d > -1 && d < 1 {
+			f.core.Recall(f.host.Now(), k)
+		}
+	}
+}
+
+// started is a worker's start in Unix seconds, 0 where the list tells none.
+func (f *Front) started(id control.WorkerID) float64 {
+	if f.list != nil {
+		for _, wk := range f.list.Workers {
+			if wk.ID == id && wk.Born > 0 {
+				return wk.Born - f.host.Now() + float64(f.host.Wall().UnixNano())/1e9
+			}
+		}
+	}
+	return 0
+}
+
+// Knows is what this front end believes of copies.
+func (f *Front) Knows() []gateway.Known { return f.core.Knows(f.started) }
+
+// Drain makes a worker drain, or returns it to what the list says, whatever the list says meanwhile. It tells whether
+// the list names the worker.
+func (f *Front) Drain(id control.WorkerID, drain bool) (known bool) {
+	if f.listed == nil || f.listed.Address[id] == "" {
+		return false
+	}
+	if drain {
+		f.drained[id] = true
+	} else {
+		delete(f.drained, id)
+	}
+	f.relist()
+	return true
+}
+
+// Ahead has a copy of a function loaded that will be asked for soon; it tells whether the decisions ordered one.
+func (f *Front) Ahead(eventType, fn string) (ordered bool) {
+	ordered = f.core.Ahead(f.host.Now(), eventType, fn)
+	f.Settle()
+	return ordered
+}
+
+// Unload asks every worker that is believed to hold a function to let its idle copies go, and tells how many.
+func (f *Front) Unload(fn string) (asked int) {
+	_, functions := f.core.Believed()
+	for _, x := range functions {
+		if string(x.ID) != fn {
+			continue
+		}
+		for _, wk := range x.Warm {
+			f.unload--
+			f.pool.Load(f.host.Now(), gateway.Order{Job: f.unload, Worker: wk, Function: fn})
+			asked++
+		}
+	}
+	f.Settle()
+	return asked
+}
--- /dev/null
+++ b/gateway/check.go
@@ -0,0 +1,103 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Askers is how many askers wait for an answer.
+func (c *Core) Askers() int { return len(c.asking) }
+
+// Check tells of state that contradicts itself; it is for tests and the simulation.
+func (c *Core) Check() error {
+	var errs []error
+	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf("core: "+format, args...)) }
+	askers, out := 0, 0
+	for id, e := range c.events {
+		switch {
+		case e.id != id:
+			fault("event %s is kept as %s", e.id, id)
+		case c.open[e.ask.Identity] == nil:
+			fault("event %s is open and not found by its identity", e.ask.Identity)
+		case e.ended && e.out == nil:
+			fault("event %s has ended and is open", e.ask.Identity)
+		case !e.ended && len(e.askers) == 0:
+			fault("event %s is open and nobody asks for it", e.ask.Identity)
+		case !e.ended && c.now > e.due+c.set.Margin:
+			fault("event %s is open %.3f s past its time", e.ask.Identity, c.now-e.due)
+		}
+		if e.out != nil {
+			out++
+			if c.flying[e.out.job] != e.out || e.out.evt != e {
+				fault("event %s has a launch out that is not known", e.ask.Identity)
+			}
+		}
+		for _, a := range e.askers {
+			askers++
+			if c.asking[a.to] != e {
+				fault("asker %d of event %s is not known", a.to, e.ask.Identity)
+			}
+			if c.now > a.due+c.set.Margin {
+				fault("asker %d of event %s waits %.3f s past its time", a.to, e.ask.Identity, c.now-a.due)
+			}
+		}
+	}
+	if askers != len(c.asking) {
+		fault("%d askers are known, %d belong to open events", len(c.asking), askers)
+	}
+	if out != len(c.flying) {
+		fault("%d launches are out, %d of open events", len(c.flying), out)
+	}
+	if len(c.open) != len(c.events) {
+		fault("%d events are open, %d identities", len(c.events), len(c.open))
+	}
+	due := map[uint64]bool{}
+	for _, t := range c.clock {
+		if t.kind == launchDue || t.kind == orderDue {
+			due[t.key] = true
+		}
+	}
+	for job := range c.flying {
+		if !due[job] {
+			fault("launch %d is out without a limit", job)
+		}
+	}
+	for job := range c.orders {
+		if !due[job] {
+			fault("load order %d is out without a limit", job)
+		}
+	}
+	weight := 0
+	for id, k := range c.kept {
+		if k.id != id || k.gone {
+			fault("the answer of %s is kept for %s", k.id, id)
+		}
+		if !k.bare {
+			weight += k.size()
+		}
+	}
+	if weight != c.weight || c.weight > c.set.RememberMost {
+		fault("kept answers hold %d bytes, %d are counted, %d allowed", weight, c.weight, c.set.RememberMost)
+	}
+	if len(c.events) > c.set.MostOpen {
+		fault("%d events are open, %d allowed", len(c.events), c.set.MostOpen)
+	}
+	return errors.Join(errs...)
+}
+
+// Noted are the events of which a restart must know that they ran, or how they ended: what was noted as this process
+// has it now.
+func (c *Core) Noted() map[Identity]Note {
+	list := map[Identity]Note{}
+	for id, k := range c.kept {
+		if k.until > c.now && !k.bare {
+			list[id] = Note{Kind: NoteEnded, Answer: k.answer, MayRun: k.mayRun}
+		}
+	}
+	for _, e := range c.events {
+		if e.noted {
+			list[e.ask.Identity] = Note{Kind: NoteLaunched, Answer: c.describe(e, Deferred, Answered), MayRun: true}
+		}
+	}
+	return list
+}
--- a/netloop/server_test.go
+++ b/netloop/server_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"streamcleat/config"
+	"streamcleat/frontend"
 	"streamcleat/netloop"
 	"streamcleat/referee"
 	"streamcleat/standin"
@@ -57,8 +58,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.front, err = netloop.Start(netloop.Settings{Name: "front", Listen: "127.0.0.1:0", WorkersFile: r.path, Core: c.Core(1),
-		Pool: c.Pool("front"), Front: c.Front(), MostConns: c.Limits.Connections})
+	r.front, err = netloop.Start(netloop.Settings{Listen: "127.0.0.1:0", WorkersFile: r.path, Settings: frontend.Settings{
+		Name: "front", Core: c.Core(1), Pool: c.Pool("front"), Front: c.Front(), MostConns: c.Limits.Connections}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -372,7 +373,7 @@
 
 func TestAddressInUse(t *testing.T) {
 	r := newRoom(t, 1, "")
-	_, err := netloop.Start(netloop.Settings{Name: "second", Listen: r.front.Addr()})
+	_, err := netloop.Start(netloop.Settings{Listen: r.front.Addr()})
 	if err == nil || !strings.Contains(err.Error(), r.front.Addr()) {
 		t.Error(err)
 	}
