The program on a virtual clock: faults from seeds, every rule checked after every step

Recovery that can't be replayed can't be trusted.

sim runs the program's own code, from a connection's bytes to the store's, on a virtual clock: a network with delay, loss, one-way cuts, resets at a byte, half-open connections and slow readers; disks that tear, fill and slow down; processes that are killed, stopped, stalled, lose power or have their clock set; workers and their store. Scripts come from seeds, swarm style.

--- a/appliance/campaign_test.go
+++ b/appliance/campaign_test.go
@@ -94,6 +94,7 @@
 }
 func (l *boxLife) Load(o gateway.Order)                 { l.orders = append(l.orders, o) }
 func (l *boxLife) Abandon(uint64)                       {}
+func (l *boxLife) Withdraw(uint64) bool                 { return false }
 func (l *boxLife) Tell([]byte)                          {}
 func (l *boxLife) Keep(n gateway.Note)                  { l.notes = append(l.notes, n) }
 func (l *boxLife) Ended(gateway.Answer, *gateway.Trace) {}
--- a/cmd/streamcleat/main.go
+++ b/cmd/streamcleat/main.go
@@ -31,7 +31,7 @@
 			"loaded copy of its function, or has one loaded. Each event gets exactly one final answer.",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), schemaCommand(), standinCommand(), drillCommand(), refereeCommand(),
+	root.AddCommand(serveCommand(), checkCommand(), schemaCommand(), standinCommand(), drillCommand(), simCommand(), refereeCommand(),
 		benchCommand())
 	root.AddCommand(operateCommands()...)
 	if err := root.ExecuteContext(ctx); err != nil {
--- a/drill/bench_state.go
+++ b/drill/bench_state.go
@@ -190,6 +190,7 @@
 func (nothing) Launch(gateway.Launch)                {}
 func (nothing) Load(gateway.Order)                   {}
 func (nothing) Abandon(uint64)                       {}
+func (nothing) Withdraw(uint64) bool                 { return false }
 func (nothing) Tell([]byte)                          {}
 func (nothing) Keep(gateway.Note)                    {}
 func (nothing) Ended(gateway.Answer, *gateway.Trace) {}
--- a/durable/store.go
+++ b/durable/store.go
@@ -30,6 +30,7 @@
 	Remember float64      // how long notes of events are kept, in time of service
 	Log      *slog.Logger
 	NoSync   bool // for measurements only: nothing waits for the disk
+	Inline   bool // the store has no goroutine of its own: its owner calls Step when the disk's turn has come
 }
 
 // Open is an event of the box itself that had no answer when the last process ended.
@@ -105,6 +106,9 @@
 	if err := opt.FS.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("state folder %s: %w", dir, err)
 	}
+	if err := probe(dir, opt); err != nil {
+		return nil, nil, fmt.Errorf("state folder %s can't be written: %w", dir, err)
+	}
 	db, err := openDB(dir, opt)
 	if err == nil {
 		found, rerr := read(db, opt)
@@ -127,6 +131,20 @@
 	return nil, nil, fmt.Errorf("state folder %s: %w", dir, err)
 }
 
+// probe tells whether the disk takes anything: the library would try without end to write what it finds in its log.
+func probe(dir string, opt Options) error {
+	name := opt.FS.PathJoin(dir, "probe")
+	f, err := opt.FS.Create(name, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(make([]byte, 64<<10))
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close(), opt.FS.Remove(name))
+}
+
 func corrupt(err error) bool {
 	return pebble.IsCorruptionError(err) || errors.Is(err, os.ErrNotExist) || strings.Contains(err.Error(), "corrupt") ||
 		strings.Contains(err.Error(), "checksum")
@@ -367,7 +385,11 @@
 		}
 		closer.Close()
 	}
-	go s.committer()
+	if opt.Inline {
+		close(s.done)
+	} else {
+		go s.committer()
+	}
 	err := s.write([]op{{formKey, []byte(form)}, {cleanKey, nil}})
 	if err != nil {
 		s.Close()
@@ -427,6 +449,9 @@
 func (s *Store) write(ops []op) error {
 	ended := make(chan error, 1)
 	s.enqueue(pending{ops: ops, done: func(err error) { ended <- err }})
+	if s.opt.Inline {
+		s.Step()
+	}
 	return <-ended
 }
 
@@ -434,28 +459,36 @@
 func (s *Store) committer() {
 	defer close(s.done)
 	for range s.wake {
-		for {
-			s.mu.Lock()
-			list := s.queue
-			s.queue = nil
-			s.mu.Unlock()
-			if len(list) == 0 {
-				break
-			}
-			err := s.apply(list)
-			if err != nil {
-				s.mu.Lock()
-				if s.failed == nil {
-					s.opt.Log.Error("the state can't be written any more", "error", err)
-				}
-				s.failed = err // what the disk did with a failed sync nobody knows: nothing more is trusted to it
-				s.mu.Unlock()
-			}
-			for _, p := range list {
-				p.done(err)
-			}
+		for s.Step() {
+		}
+	}
+}
+
+// Step writes what waits, as one batch, and tells whether there was anything. Only the owner of an Inline store calls
+// it.
+func (s *Store) Step() bool {
+	s.mu.Lock()
+	list, err := s.queue, s.failed
+	s.queue = nil
+	s.mu.Unlock()
+	if len(list) == 0 {
+		return false
+	}
+	if err == nil {
+		err = s.apply(list)
+	}
+	if err != nil {
+		s.mu.Lock()
+		if s.failed == nil {
+			s.opt.Log.Error("the state can't be written any more", "error", err)
 		}
+		s.failed = err // what the disk did with a failed sync nobody knows: nothing more is trusted to it
+		s.mu.Unlock()
+	}
+	for _, p := range list {
+		p.done(err)
 	}
+	return true
 }
 
 func (s *Store) apply(list []pending) (err error) {
@@ -588,6 +621,20 @@
 	return errors.Join(err, s.closeDB())
 }
 
+// Drop ends the store as the end of its process does: what waits is not written, and nobody is told.
+func (s *Store) Drop() error {
+	s.mu.Lock()
+	was := s.closed
+	s.closed, s.queue = true, nil
+	s.mu.Unlock()
+	if was {
+		return nil
+	}
+	close(s.wake)
+	<-s.done
+	return s.closeDB()
+}
+
 func (s *Store) closeDB() (err error) {
 	defer caught(&err)
 	return s.db.Close()
--- a/frontend/front.go
+++ b/frontend/front.go
@@ -369,8 +369,8 @@
 }
 
 // Check tells of state that contradicts itself; it is for tests and the simulation.
-func (f *Front) Check() error {
-	errs := []error{f.core.Check(), f.pool.Check()}
+func (f *Front) Check(full bool) error {
+	errs := []error{f.core.Check(full), f.pool.Check()}
 	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
 	if n := len(f.dirty) + len(f.ops); n > 0 {
 		fault("%d things are left to be carried out", n)
@@ -433,9 +433,9 @@
 	case !a.Firm || f.set.Keeper == nil:
 		f.answer(to, a)
 	case len(k.notes) > 0:
-		k.held = append(k.held, held{answer: a, to: to})
+		f.hold(&k.held, to, a)
 	case k.busy:
-		k.out = append(k.out, held{answer: a, to: to})
+		f.hold(&k.out, to, a)
 	default:
 		f.answer(to, a)
 	}
@@ -472,6 +472,8 @@
 	o.pool.Abandon(o.host.Now(), job)
 }
 
+func (o *outside) Withdraw(job uint64) bool { return o.keep.abandon(job) || o.pool.Withdraw(job) }
+
 func (o *outside) Keep(n gateway.Note) {
 	if o.set.Keeper != nil {
 		o.keep.notes = append(o.keep.notes, n)
--- a/frontend/keep.go
+++ b/frontend/keep.go
@@ -11,26 +11,29 @@
 	answer gateway.Answer
 	to     gateway.Asker
 	gone   bool
+	at     float64 // when it began to wait
 }
 
 // keep gathers notes while a commit is out, so that one sync serves all that came meanwhile.
 type keep struct {
 	notes []gateway.Note
-	held  []held  // behind the notes that are not committed yet
-	out   []held  // behind the commit that is out
-	busy  bool    // a commit is out
-	since float64 // when it began
+	held  []held // behind the notes that are not committed yet
+	out   []held // behind the commit that is out
+	busy  bool   // a commit is out
+	timed bool   // somebody looks at answers that wait too long
 }
 
-// abandon takes back a launch that has not left.
-func (k *keep) abandon(job uint64) {
+// abandon takes back a launch that waits for its note; false where none does.
+func (k *keep) abandon(job uint64) (waited bool) {
 	for _, list := range [][]held{k.held, k.out} {
 		for i := range list {
 			if list[i].launch != nil && list[i].launch.Job == job {
+				waited = waited || !list[i].gone
 				list[i].gone = true
 			}
 		}
 	}
+	return waited
 }
 
 // commit hands what was noted to the keeper, unless it is still busy with the last.
@@ -41,10 +44,7 @@
 	}
 	notes := k.notes
 	k.out, k.notes, k.held = k.held, nil, nil
-	k.busy, k.since = true, f.host.Now()
-	if f.set.KeepWithin > 0 {
-		f.host.After(f.set.KeepWithin, f.impatient)
-	}
+	k.busy = true
 	f.set.Keeper.Commit(notes, func(err error) { f.host.Post(func() { f.committed(err) }) })
 }
 
@@ -71,23 +71,34 @@
 	f.Settle()
 }
 
+// hold makes an answer wait for its note.
+func (f *Front) hold(list *[]held, to gateway.Asker, a gateway.Answer) {
+	*list = append(*list, held{answer: a, to: to, at: f.host.Now()})
+	if f.set.KeepWithin > 0 && !f.keep.timed {
+		f.keep.timed = true
+		f.host.After(f.set.KeepWithin, f.impatient)
+	}
+}
+
 // impatient sends answers whose note takes too long: a client's time must not run out over a slow disk.
 func (f *Front) impatient() {
-	k := &f.keep
-	if !k.busy || f.host.Now()-k.since < f.set.KeepWithin*0.99 {
-		return
-	}
-	for i := range k.out {
-		if h := &k.out[i]; h.launch == nil && !h.gone {
-			h.gone = true
-			f.answer(h.to, h.answer)
+	now, next := f.host.Now(), 0.0
+	f.keep.timed = false
+	for _, list := range [][]held{f.keep.out, f.keep.held} {
+		for i := range list {
+			switch h := &list[i]; {
+			case h.launch != nil || h.gone:
+			case now-h.at >= f.set.KeepWithin*0.99:
+				h.gone = true
+				f.answer(h.to, h.answer)
+			case next == 0 || h.at < next:
+				next = h.at
+			}
 		}
 	}
-	for i := range k.held {
-		if h := &k.held[i]; h.launch == nil && !h.gone {
-			h.gone = true
-			f.answer(h.to, h.answer)
-		}
+	if next > 0 {
+		f.keep.timed = true
+		f.host.After(next+f.set.KeepWithin-now, f.impatient)
 	}
 	f.Settle()
 }
--- a/gateway/check.go
+++ b/gateway/check.go
@@ -8,8 +8,9 @@
 // Askers is how many askers wait for an answer.
 func (c *Core) Askers() int { return len(c.asking) }
 
-// Check tells of state that contradicts itself; it is for tests and the simulation.
-func (c *Core) Check() error {
+// Check tells of state that contradicts itself; it is for tests and the simulation. Where full is set it also counts
+// what is kept, which takes time by its number.
+func (c *Core) Check(full bool) error {
 	var errs []error
 	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf("core: "+format, args...)) }
 	askers, out := 0, 0
@@ -67,6 +68,9 @@
 			fault("load order %d is out without a limit", job)
 		}
 	}
+	if !full {
+		return errors.Join(errs...)
+	}
 	weight := 0
 	for id, k := range c.kept {
 		if k.id != id || k.gone {
@@ -91,7 +95,11 @@
 	list := map[Identity]Note{}
 	for id, k := range c.kept {
 		if k.until > c.now && !k.bare {
-			list[id] = Note{Kind: NoteEnded, Answer: k.answer, MayRun: k.mayRun}
+			n := Note{Kind: NoteEnded, Answer: k.answer, MayRun: k.mayRun}
+			if k.answer.Cause == Restarted { // it is on disk as the launch that an earlier process noted
+				n.Kind = NoteLaunched
+			}
+			list[id] = n
 		}
 	}
 	for _, e := range c.events {
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -146,6 +146,7 @@
 	Handled, Deferred, DeadLettered     uint64
 	Launches, Orders, Abandoned, HungUp uint64
 	Open, Out, Kept, KeptBytes, Armed   int // at this moment
+	Loading                             int // load orders that are out
 }
 
 // New makes a core at the time now, in seconds of a clock that never goes back.
@@ -166,6 +167,7 @@
 func (c *Core) Counts() Counts {
 	n := c.count
 	n.Open, n.Out, n.Kept, n.KeptBytes, n.Armed = len(c.events), len(c.flying), len(c.kept), c.weight, len(c.clock)
+	n.Loading = len(c.orders)
 	return n
 }
 
@@ -204,6 +206,7 @@
 		}
 	case orderDue:
 		if c.orders[t.key] != nil {
+			c.out.Abandon(t.key) // its connection must not wait on
 			c.Loaded(c.now, t.key, control.TimedOut, 0)
 		}
 	}
@@ -401,8 +404,11 @@
 	}
 	e.ended = true
 	c.router.HungUp(c.now, e.id)
-	if e.out == nil {
+	switch {
+	case e.out == nil:
 		c.close(e, c.describe(e, Deferred, TimeUp))
+	case c.out.Withdraw(e.out.job): // it waited for a connection or for its note
+		c.end(e.out, Reply{Result: control.NeverSent})
 	}
 }
 
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -36,7 +36,9 @@
 	r.out[l.Identity] = l.Job
 	r.launches = append(r.launches, l)
 }
-func (r *rig) Load(o Order) { r.orders = append(r.orders, o) }
+func (r *rig) Load(o Order)         { r.orders = append(r.orders, o) }
+func (r *rig) Withdraw(uint64) bool { return false }
+
 func (r *rig) Abandon(job uint64) {
 	r.left[job] = true
 	r.over(job, true)
@@ -472,6 +474,7 @@
 func (o *bare) Launch(l Launch)      { o.job = l.Job }
 func (o *bare) Load(l Order)         { o.order = l.Job }
 func (o *bare) Abandon(uint64)       {}
+func (o *bare) Withdraw(uint64) bool { return false }
 func (o *bare) Tell([]byte)          {}
 func (o *bare) Keep(Note)            {}
 func (o *bare) Ended(Answer, *Trace) {}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -191,7 +191,8 @@
 	Answer(to Asker, a Answer)
 	Launch(l Launch)
 	Load(o Order)
-	Abandon(job uint64) // a launch's time is up: its answer is no longer wanted and it counts as ended
+	Abandon(job uint64)       // the time of a launch or load order is up: its answer is no longer wanted and it counts as ended
+	Withdraw(job uint64) bool // takes a launch back if nothing of it has left; then it never ran, and nothing more is told of it
 	Tell(message []byte)
 	Keep(n Note)
 	Ended(a Answer, t *Trace) // once for each event, for logs and figures
--- a/referee/record.go
+++ b/referee/record.go
@@ -58,16 +58,22 @@
 // Tape collects records from many goroutines in the order they were made.
 type Tape struct {
 	mu      sync.Mutex
-	began   time.Time
+	clock   func() float64
 	records []Record
 	calls   uint64
 }
 
 // NewTape begins a recording now.
-func NewTape() *Tape { return &Tape{began: time.Now()} }
+func NewTape() *Tape {
+	began := time.Now()
+	return NewTapeOn(func() float64 { return time.Since(began).Seconds() })
+}
+
+// NewTapeOn begins a recording on a clock, in seconds since its beginning.
+func NewTapeOn(clock func() float64) *Tape { return &Tape{clock: clock} }
 
 // Now is seconds since the recording began.
-func (t *Tape) Now() float64 { return time.Since(t.began).Seconds() }
+func (t *Tape) Now() float64 { return t.clock() }
 
 // Add notes a record with the present time. A nil tape notes nothing.
 func (t *Tape) Add(r Record) {
--- /dev/null
+++ b/sim/box.go
@@ -0,0 +1,525 @@
+package sim
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"streamcleat/appliance"
+	"streamcleat/durable"
+	"streamcleat/frontend"
+	"streamcleat/gateway"
+	"streamcleat/h1"
+	"streamcleat/referee"
+	"streamcleat/timers"
+	"streamcleat/workers"
+)
+
+// box is one process of the program on its machine: the life, the store and the timers of a box and its front ends,
+// put together as the real box does, on the virtual clock.
+type box struct {
+	proc
+	s       *site
+	no      int
+	disk    *disk
+	store   *durable.Store
+	life    appliance.Life
+	fronts  []*front
+	found   *durable.Found
+	plan    *timers.Plan
+	fired   map[string]time.Time
+	hold    bool
+	syncing bool
+	boots   int
+	acked   map[gateway.Identity]gateway.Note // noted, and on disk for all that the program was told
+	ackedAt map[gateway.Identity]float64
+	pending map[gateway.Identity][]gateway.Note // noted, and not yet told to be on disk
+	own     map[gateway.Identity]uint64         // the box's own events that are open: their calls
+	again   float64                             // seconds from a stop to the next start
+	silent  bool                                // the watcher of the list misses changes
+}
+
+// front is one front end of a box. It outlives the process: clients know it by its address.
+type front struct {
+	b       *box
+	name    string
+	addr    string
+	peer    int // number among all
+	f       *frontend.Front
+	timer   *step
+	told    map[string]string  // phases of workers as it read them
+	births  map[string]float64 // and their starts
+	touched bool               // something happened in it during this step
+}
+
+// link is a connection as the front end has it.
+type link struct{ e *end }
+
+func (l link) Write(data []byte) { l.e.write(data) }
+func (l link) Close()            { l.e.close() }
+func (l link) Shut()             { l.e.shut() }
+func (l link) Unsent() int       { return l.e.unsent() }
+func (l link) Name() string      { return l.e.c.name }
+
+const (
+	syncTime = 0.001 // seconds of a sync of the disk
+	bootTime = 0.05  // from the start of a process to its first look at the state
+)
+
+func (s *site) newBox(no, fronts int) *box {
+	b := &box{proc: proc{w: s.w, name: fmt.Sprintf("box-%d", no), power: true, base: 1e6 + 1000*float64(no)}, s: s, no: no, disk: newDisk(),
+		acked: map[gateway.Identity]gateway.Note{}, ackedAt: map[gateway.Identity]float64{}, pending: map[gateway.Identity][]gateway.Note{}}
+	for i := range fronts {
+		f := &front{b: b, name: fmt.Sprintf("front-%d", len(s.fronts)), peer: len(s.fronts)}
+		f.addr = fmt.Sprintf("%s:%d", b.name, 8080+i)
+		b.fronts = append(b.fronts, f)
+		s.fronts = append(s.fronts, f)
+		s.net.doors[f.addr] = &door{&b.proc, f.accept}
+	}
+	return b
+}
+
+// start begins the process.
+func (b *box) start() {
+	b.life = appliance.Life{}
+	b.proc.life++
+	b.up, b.power, b.still, b.syncing, b.hold = true, true, false, false, true
+	b.boots++
+	b.own, b.plan = map[gateway.Identity]uint64{}, nil
+	b.in(bootTime, "opens the state", b.open)
+}
+
+func (b *box) move(h appliance.Happening, why string) {
+	for _, a := range b.life.On(h, why) {
+		b.act(a)
+	}
+}
+
+// open opens the state, as the real box does first of all.
+func (b *box) open() {
+	if !b.s.script.Stateless {
+		store, found, err := durable.OpenStore("state", durable.Options{FS: b.disk.view(), Remember: remembered * 4, Inline: true,
+			Clock: func() durable.Stamp { return durable.Stamp{Boot: b.name + strconv.Itoa(b.reboots()), Up: b.w.now} }})
+		if err != nil {
+			if !b.disk.full {
+				b.s.fault("state", "%s can't open its state: %v", b.name, err)
+			}
+			b.move(appliance.Broke, "state")
+			return
+		}
+		b.store, b.found = store, found
+		b.s.recovered(b, found)
+	} else {
+		b.found = &durable.Found{Fresh: true, Fired: map[string]time.Time{}}
+	}
+	b.move(appliance.Opened, "")
+}
+
+// reboots counts starts of the machine: only a loss of power is one.
+func (b *box) reboots() int { return b.s.reboots[b.no] }
+
+func (b *box) act(a appliance.Act) {
+	switch a {
+	case appliance.Recover:
+		b.in(0.01, "recovers", b.recover)
+	case appliance.FireTimers:
+		b.hold = false
+		b.fire()
+	case appliance.HoldTimers:
+		b.hold = true
+	case appliance.CloseDoors:
+		for _, f := range b.fronts {
+			if f.f != nil {
+				f.f.CloseDoors()
+			}
+		}
+	case appliance.StartClock:
+		b.in(1, "drain time", func() { b.move(appliance.TimeUp, "") })
+		b.quiet()
+	case appliance.AnswerAll:
+		for _, f := range b.fronts {
+			if f.f != nil {
+				f.f.Finish()
+			}
+		}
+		b.kept()
+	case appliance.WriteState:
+		for _, f := range b.fronts {
+			if f.f != nil {
+				f.f.Hang()
+			}
+		}
+		if b.store != nil {
+			if err := b.store.Close(); err != nil && !b.disk.full && b.store.Failed() == nil {
+				b.s.fault("state", "%s did not close its state: %v", b.name, err)
+			}
+			b.store = nil
+		}
+		b.in(0.02, "written", func() { b.move(appliance.Written, "") })
+	case appliance.Exit:
+		b.gone(false)
+		b.w.in(max(b.again, 0.1), b.name+" starts", b.startIfDown)
+	}
+}
+
+func (b *box) startIfDown() {
+	if !b.up {
+		b.start()
+	}
+}
+
+// quiet waits until nothing is open.
+func (b *box) quiet() {
+	open := 0
+	for _, f := range b.fronts {
+		if f.f != nil {
+			open += f.f.Core().Counts().Open
+		}
+	}
+	if open == 0 {
+		b.move(appliance.Quiet, "")
+	} else if b.life.State == appliance.Draining {
+		b.in(0.01, "drains", b.quiet)
+	}
+}
+
+// kept waits until what was noted is on disk.
+func (b *box) kept() {
+	for _, f := range b.fronts {
+		if f.f != nil && !f.f.Kept() {
+			b.in(0.01, "writes", b.kept)
+			return
+		}
+	}
+	b.move(appliance.Answered, "")
+}
+
+// recover starts the front ends with what was kept.
+func (b *box) recover() {
+	for _, f := range b.fronts {
+		f.begin()
+	}
+	if b.s.script.Timers > 0 {
+		b.fired = map[string]time.Time{}
+		for k, v := range b.found.Fired {
+			b.fired[k] = v
+		}
+		b.plan = timers.Resume(b.s.entries, b.fired, b.wall())
+	}
+	for _, o := range b.found.Own {
+		b.take(o.Ask, o.Until, 1)
+	}
+	b.move(appliance.Recovered, "")
+}
+
+// tag names one process of a front end: a new one shares nothing with the last but the state on disk.
+func (f *front) tag() string { return fmt.Sprintf("%s/%d", f.name, f.b.boots) }
+
+func (f *front) begin() {
+	b := f.b
+	set := frontend.Settings{Name: f.name, Cluster: "sim", Core: b.s.cfg.Core(b.s.script.Seed*1000 + uint64(f.peer)), Pool: b.s.cfg.Pool(f.name),
+		Front: b.s.cfg.Front(), MostConns: b.s.cfg.Limits.Connections, Kept: b.found.Events, Known: b.found.Known,
+		KeepWithin: b.s.cfg.Limits.Margin / 2}
+	set.Core.Deployment.FrontEnds, set.Core.Deployment.MayTell = len(b.s.fronts), len(b.s.fronts) > 1
+	if b.store != nil {
+		set.Keeper = b
+	}
+	f.timer = nil
+	f.told, f.births = map[string]string{}, map[string]float64{}
+	f.f = frontend.New(set, (*host)(f))
+	b.in(frontend.SweepEvery, f.name+" sweeps", f.sweep)
+	if b.s.list != nil {
+		f.read()
+	}
+	b.in(2, f.name+" looks at the list", f.resync)
+}
+
+func (f *front) sweep() {
+	f.f.Sweep()
+	f.b.in(frontend.SweepEvery, f.name+" sweeps", f.sweep)
+}
+
+func (f *front) resync() {
+	f.read()
+	f.b.in(2, f.name+" looks at the list", f.resync)
+}
+
+// read takes the list of workers as it now is.
+func (f *front) read() {
+	s := f.b.s
+	if err := f.f.ReadList(s.list); err != nil {
+		s.fault("list", "%s: %v", f.name, err)
+	}
+	for _, k := range s.workers {
+		phase := k.phase
+		if !k.listed {
+			phase = "gone"
+		}
+		if k.born > 0 && f.births[k.name] != k.born {
+			f.births[k.name] = k.born
+			s.tape.Add(referee.Record{Kind: referee.Born, Worker: k.name, Front: f.tag(), Born: k.born})
+		}
+		if f.told[k.name] != phase {
+			f.told[k.name] = phase
+			s.tape.Add(referee.Record{Kind: referee.Told, Worker: k.name, Phase: phase, Front: f.tag()})
+		}
+	}
+}
+
+func (f *front) accept(e *end) bool {
+	if f.f == nil || f.b.life.State < appliance.Serving && f.b.life.State != appliance.Recovering {
+		return false
+	}
+	cl := f.f.Accept(link{e})
+	if cl == nil {
+		return false
+	}
+	e.data = func(data []byte) { f.f.FromClient(cl, data) }
+	e.closed = func() { e.close(); f.f.ClientGone(cl) }
+	return true
+}
+
+// host is what a front end stands on.
+type host front
+
+func (h *host) Now() float64 {
+	(*front)(h).touch()
+	return h.b.clock()
+}
+
+func (h *host) Wall() time.Time { return h.b.wall() }
+
+func (h *host) Wake(at float64) {
+	f := (*front)(h)
+	f.timer.drop()
+	f.timer = f.b.in(at-f.b.clock(), f.name+" wakes", func() { f.f.Tick() })
+}
+
+func (h *host) After(seconds float64, do func()) { h.b.in(seconds, h.name+" after", do) }
+func (h *host) Post(do func())                   { h.b.in(0, h.name+" posted", do) }
+
+func (h *host) Dial(no workers.Conn, addr string) {
+	f := (*front)(h)
+	f.b.s.net.dial(&f.b.proc, addr, f.b.s.cfg.Workers.Dial, func(e *end, err error) {
+		if err != nil {
+			f.f.Dialed(no, nil, err)
+			return
+		}
+		answered := f.watch(e, addr)
+		e.data = func(data []byte) {
+			answered(data)
+			f.f.FromWorker(no, data)
+		}
+		e.closed = func() { e.close(); f.f.WorkerGone(no) }
+		f.f.Dialed(no, link{e}, nil)
+	})
+}
+
+// watch notes for the referee what passes on a connection to a worker, as the front end's side of the socket sees it.
+func (f *front) watch(e *end, addr string) (answered func([]byte)) {
+	wk, _, _ := strings.Cut(addr, ":")
+	limits := h1.Limits{Head: 1 << 16, Body: 1 << 20}
+	out, in, s := h1.NewRequests(limits), h1.NewResponses(limits), f.b.s
+	var open referee.Record
+	e.tap = func(data []byte) {
+		out.Feed(bytes.Clone(data))
+		for {
+			m, err := out.Next()
+			if err != nil {
+				s.fault("wire", "%s sent %s what is no request: %v", f.name, wk, err)
+			}
+			if m == nil || err != nil {
+				return
+			}
+			switch {
+			case strings.HasSuffix(m.Target, "/infer"):
+				open = referee.Record{Kind: referee.Launched, Worker: wk, Front: f.tag(), Call: s.tape.Call(),
+					Event: m.Header.Get("Ce-Source") + "#" + m.Header.Get("Ce-Id"), Type: m.Header.Get("Ce-Type")}
+				s.tape.Add(open)
+			case strings.HasSuffix(m.Target, "/load"):
+				s.tape.Add(referee.Record{Kind: referee.Ordered, Worker: wk, Front: f.tag(), Copies: 1})
+			}
+		}
+	}
+	ended := func() {
+		if open.Event != "" {
+			open.Kind = referee.Ended
+			s.tape.Add(open)
+			open = referee.Record{}
+		}
+	}
+	e.ended = ended // whichever side closed
+	return func(data []byte) {
+		in.Feed(bytes.Clone(data))
+		if m, err := in.Next(); m != nil || err != nil {
+			ended()
+		}
+	}
+}
+
+// Tell sends a datagram to every other front end.
+func (h *host) Tell(data []byte) {
+	for _, o := range h.b.s.fronts {
+		if o.peer != h.peer {
+			h.b.s.net.datagram(&h.b.proc, &o.b.proc, data, func(data []byte) {
+				if o.f != nil {
+					o.f.Heard(data)
+				}
+			})
+		}
+	}
+}
+
+// Commit implements frontend.Keeper: the store's batch is written when the disk's turn has come.
+func (b *box) Commit(notes []gateway.Note, done func(error)) {
+	b.submitted(notes)
+	b.store.Commit(notes, func(err error) {
+		if err == nil {
+			b.settled(notes)
+		}
+		done(err)
+	})
+	b.sync()
+}
+
+func (b *box) sync() {
+	if b.syncing {
+		return
+	}
+	b.syncing = true
+	b.in(syncTime+b.disk.slow, "syncs", func() {
+		b.syncing = false
+		if b.store == nil { // closed meanwhile, which wrote what waited
+			return
+		}
+		torn := b.disk.Torn
+		b.store.Step()
+		if b.disk.Torn > torn { // the machine stopped in the middle of a record
+			b.crash(true, 0.3)
+		}
+	})
+}
+
+// crash ends the process without a word; power takes the machine with it.
+func (b *box) crash(power bool, again float64) {
+	if !b.up {
+		return
+	}
+	b.gone(power)
+	b.w.in(again, b.name+" starts", b.startIfDown)
+}
+
+// gone is what stays of a process that ended.
+func (b *box) gone(power bool) {
+	b.s.down(b)
+	ends := b.s.net.of(b.name)
+	b.end()
+	for _, e := range ends {
+		e.c.harmed = true
+		if power { // nobody is told; packets find the machine off, or up again and without the connection
+			e.queue, e.due, e.waiting = nil, nil, 0
+			e.finish()
+		} else {
+			e.vanish()
+		}
+	}
+	if power {
+		b.power = false
+		b.s.reboots[b.no]++
+		b.w.in(0.2, b.name+" has power", func() { b.power = true })
+	}
+	for _, f := range b.fronts {
+		f.timer.drop()
+		f.f = nil
+	}
+	for _, call := range sorted(b.own) {
+		b.s.ownLost(call)
+	}
+	b.own = map[gateway.Identity]uint64{}
+	old := b.store
+	b.store = nil
+	b.disk.restart(power)
+	if old != nil {
+		b.s.closing.Go(func() { old.Drop() }) // gives its memory back; its disk is nobody's any more
+	}
+}
+
+// fire fires what is due, as the real box does: on disk first.
+func (b *box) fire() {
+	if b.s.script.Timers == 0 || b.hold || b.w.now > b.s.script.Seconds+lastTry {
+		return
+	}
+	due := b.plan.Due(b.wall())
+	if len(due) > 0 {
+		var notes []durable.Firing
+		for _, f := range due {
+			notes = append(notes, durable.Firing{Entry: f.Entry.Key(), Due: f.Due, Until: f.Until(), Ask: b.ask(f)})
+		}
+		var err error
+		if b.store != nil {
+			torn := b.disk.Torn
+			err = b.store.Fired(notes)
+			if b.disk.Torn > torn {
+				b.crash(true, 0.3)
+				return
+			}
+		}
+		if err == nil {
+			for _, n := range notes {
+				b.fired[n.Entry] = n.Due
+				b.s.minutes[n.Entry+"/"+n.Due.UTC().Format(time.RFC3339)]++
+				b.take(n.Ask, n.Until, 1)
+			}
+		}
+	}
+	pause := 1.0
+	if next, ok := b.plan.Next(); ok {
+		pause = min(max(next.Sub(b.wall()).Seconds(), 0.001), pause)
+	}
+	b.in(pause, "timers", b.fire)
+}
+
+func (b *box) ask(f timers.Firing) gateway.Ask {
+	e, ownSource := f.Entry, "/timers/"+b.name
+	return gateway.Ask{Identity: gateway.Identity{Source: ownSource, ID: f.ID}, Type: e.Type, Function: e.Function, Tenant: e.Tenant,
+		Fields: []gateway.Field{{Name: "ce-specversion", Value: "1.0"}, {Name: "ce-source", Value: ownSource}, {Name: "ce-id", Value: f.ID},
+			{Name: "ce-type", Value: e.Type}, {Name: "ce-function", Value: e.Function}}}
+}
+
+// take begins an event of the box itself; a deferred one is tried again until its time is over.
+func (b *box) take(ask gateway.Ask, until time.Time, tries int) {
+	f := b.fronts[0]
+	call := b.s.tape.Call()
+	b.own[ask.Identity] = call
+	b.s.tape.Add(referee.Record{Kind: referee.Asked, Event: ask.Identity.String(), Type: ask.Type, Function: ask.Function, Front: f.tag(), Call: call,
+		Wait: maxAge})
+	began := b.w.now
+	f.f.Take(ask, func(a gateway.Answer) {
+		delete(b.own, ask.Identity)
+		if b.w.now-began > maxAge && b.s.troubled(b, began) { // it stood still
+			b.s.ownLost(call)
+		} else {
+			b.s.tape.Add(referee.Record{Kind: referee.Answered, Event: ask.Identity.String(), Type: ask.Type, Front: f.tag(), Call: call,
+				Outcome: a.Kind.String()})
+		}
+		switch {
+		case a.Cause == gateway.Stopping && a.Kind == gateway.Deferred:
+			return
+		case a.Kind == gateway.Deferred:
+			if pause, ok := timers.Again(until, b.wall(), tries, time.Duration(a.Pause*float64(time.Second))); ok && b.w.now+pause.Seconds() < b.s.script.Seconds+lastTry {
+				b.in(pause.Seconds(), "again "+ask.ID, func() {
+					if b.life.State == appliance.Serving {
+						b.take(ask, until, tries+1)
+					}
+				})
+				return
+			}
+		}
+		if b.store != nil {
+			b.store.Answered(ask.Identity)
+			b.sync()
+		}
+	})
+}
--- /dev/null
+++ b/sim/check.go
@@ -0,0 +1,168 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"streamcleat/durable"
+	"streamcleat/gateway"
+	"streamcleat/referee"
+)
+
+// submitted notes what a front end asked to be kept.
+func (b *box) submitted(notes []gateway.Note) {
+	for _, n := range notes {
+		b.pending[n.Answer.Identity] = append(b.pending[n.Answer.Identity], n)
+	}
+}
+
+// settled notes that the disk has them.
+func (b *box) settled(notes []gateway.Note) {
+	for _, n := range notes {
+		id := n.Answer.Identity
+		b.acked[id], b.ackedAt[id] = n, b.w.now
+		if list := b.pending[id]; len(list) > 1 {
+			b.pending[id] = list[1:]
+		} else {
+			delete(b.pending, id)
+		}
+	}
+}
+
+// same tells that a restart makes the same of two notes. A deferral that a repeat found too old is one still on disk, and
+// is found too old again.
+func same(a, b gateway.Note) bool {
+	if a.Kind == gateway.NoteEnded && a.Answer.Kind == gateway.Deferred && a.MayRun && b.Kind == gateway.NoteLaunched {
+		return true // a later try came to nothing: the launch that was noted says as much
+	}
+	return a.Kind == b.Kind && a.MayRun == b.MayRun && (a.Kind == gateway.NoteLaunched || a.Answer.Kind == b.Answer.Kind || a.Answer.Cause == gateway.Forgotten)
+}
+
+// recovered compares what a restart found with what the process before it was told to be on disk: nothing that was
+// told may be missing or older.
+func (s *site) recovered(b *box, found *durable.Found) {
+	got := map[gateway.Identity]gateway.Note{}
+	for _, k := range found.Events {
+		got[k.Answer.Identity] = k.Note
+	}
+	if found.SetAside != "" || found.Unread > 0 {
+		s.fault("state", "%s found its state corrupt: %s, %d unread", b.name, found.SetAside, found.Unread)
+	}
+	for id, n := range b.acked {
+		if s.w.now-b.ackedAt[id] > remembered*4-5 {
+			continue
+		}
+		x, ok := got[id]
+		fine := ok && same(n, x)
+		for _, p := range b.pending[id] { // not told, and on disk all the same
+			fine = fine || ok && same(p, x)
+		}
+		if !fine {
+			s.fault("state", "%s was told that %s is kept as %v %v and found %v (%v %v)", b.name, id, n.Kind, n.Answer.Kind, ok, x.Kind, x.Answer.Kind)
+		}
+	}
+	clear(b.acked)
+	clear(b.pending)
+	for id, n := range got {
+		b.acked[id], b.ackedAt[id] = n, s.w.now
+	}
+}
+
+// compare reads the state of a running box back, as a restart would, and compares it with what the front ends have in
+// memory.
+func (s *site) compare(b *box) {
+	if b.store == nil || b.store.Failed() != nil {
+		return
+	}
+	copied := &disk{fs: b.disk.fs, tear: -1}
+	copied.restart(false)
+	store, found, err := durable.OpenStore("state", durable.Options{FS: copied.view(), Remember: remembered * 4, Inline: true})
+	if err != nil {
+		s.fault("state", "%s: the state can't be read back: %v", b.name, err)
+		return
+	}
+	defer store.Close()
+	got := map[gateway.Identity]gateway.Note{}
+	for _, k := range found.Events {
+		got[k.Answer.Identity] = k.Note
+	}
+	times := map[gateway.Identity]int{}
+	for _, f := range b.fronts {
+		for id := range f.f.Core().Noted() {
+			times[id]++
+		}
+	}
+	for _, f := range b.fronts {
+		for id, n := range f.f.Core().Noted() {
+			x, ok := got[id]
+			firm := s.rules.Effect[n.Answer.EventType] != "redeliverable" && n.MayRun
+			if times[id] == 1 && firm && (!ok || !same(n, x)) {
+				s.fault("state", "%s has %s as %v %v %v, may have run %v; a restart would find %v: %v %v %v %v", f.name, id, n.Kind, n.Answer.Kind, n.Answer.Cause, n.MayRun,
+					ok, x.Kind, x.Answer.Kind, x.Answer.Cause, x.MayRun)
+			}
+		}
+	}
+}
+
+// answerOf is what an ask came to, for the check of repeats.
+type answerOf struct{ outcome string }
+
+// repeatModel is what answers to one event by one process of a front end may be: once it was handled every further ask
+// is answered with that; once it was dead-lettered for good it is never handled. What the client does not know may have
+// been anything.
+var repeatModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{"open"} },
+	Step: func(state, _, output any) []any {
+		is, out := state.(string), output.(answerOf).outcome
+		switch {
+		case out == "" && is == "open":
+			return []any{"open", referee.Handled, referee.DeadLettered}
+		case out == "":
+			return []any{is}
+		case is == "open" && out == referee.DeadLettered: // for this asker alone, whose time was up, or for all
+			return []any{"open", out}
+		case is == "open" && out == referee.Handled:
+			return []any{out}
+		case is == "open":
+			return []any{"open"}
+		case is == out:
+			return []any{is}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// repeats checks that the answers to repeats of each event can be put in an order that makes sense.
+func (s *site) repeats() {
+	type key struct {
+		event, front string
+		boot         int
+	}
+	groups := map[key][]porcupine.Operation{}
+	var order []key
+	end := int64(s.w.now*1e6) + 1
+	for i, a := range s.tries {
+		k := key{a.event, a.front, a.boot}
+		if groups[k] == nil {
+			order = append(order, k)
+		}
+		ret := end
+		if a.ret >= 0 {
+			ret = int64(a.ret * 1e6)
+		}
+		groups[k] = append(groups[k], porcupine.Operation{ClientId: i, Call: int64(a.call * 1e6), Output: answerOf{a.outcome}, Return: ret})
+	}
+	model := repeatModel.ToModel()
+	for _, k := range order {
+		if ops := groups[k]; len(ops) > 1 && porcupine.CheckOperationsTimeout(model, ops, time.Minute) == porcupine.Illegal {
+			var list []string
+			for _, o := range ops {
+				list = append(list, fmt.Sprintf("%.3f-%.3f %s", float64(o.Call)/1e6, float64(o.Return)/1e6, o.Output.(answerOf).outcome))
+			}
+			s.fault("repeats", "%s at %s was answered in a way that no order explains: %v", k.event, k.front, list)
+		}
+	}
+}
--- /dev/null
+++ b/sim/disk_test.go
@@ -0,0 +1,59 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"streamcleat/durable"
+	"streamcleat/gateway"
+)
+
+func keep(t *testing.T, d *disk, id string) (*durable.Store, error) {
+	t.Helper()
+	s, found, err := durable.OpenStore("state", durable.Options{FS: d.view(), Remember: 600, Inline: true, Clock: func() durable.Stamp { return durable.Stamp{Boot: "a", Up: 1} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range found.Events {
+		t.Log("found ", e.Answer.Identity)
+	}
+	s.Commit([]gateway.Note{{Answer: gateway.Answer{Identity: gateway.Identity{Source: "/t", ID: id}, EventType: "once"}, MayRun: true}}, func(e error) { err = e })
+	s.Step()
+	return s, err
+}
+
+func TestTornRecordIsNotFoundAndTheRestIs(t *testing.T) {
+	for _, power := range []bool{false, true} {
+		d := newDisk()
+		s, err := keep(t, d, "one")
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.tear = 20
+		s.Commit([]gateway.Note{{Answer: gateway.Answer{Identity: gateway.Identity{Source: "/t", ID: "two"}, EventType: "once"}, MayRun: true}}, func(e error) { err = e })
+		began := time.Now()
+		s.Step()
+		if err == nil {
+			t.Fatal("a torn write passed")
+		}
+		d.restart(power)
+		s.Close()
+		s2, found, err := durable.OpenStore("state", durable.Options{FS: d.view(), Remember: 600, Inline: true})
+		if err != nil || len(found.Events) != 1 || found.Events[0].Answer.Identity.ID != "one" || found.SetAside != "" {
+			t.Fatalf("power %v: %+v %v", power, found, err)
+		}
+		s2.Close()
+		t.Log(time.Since(began))
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	for b.Loop() {
+		d := newDisk()
+		s, _, err := durable.OpenStore("state", durable.Options{FS: d.view(), Remember: 600, Inline: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.Close()
+	}
+}
--- /dev/null
+++ b/sim/sweep.go
@@ -0,0 +1,165 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ReadScript reads a script from JSON.
+func ReadScript(data []byte) (*Script, error) {
+	s := &Script{}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		return nil, fmt.Errorf("script: %w", err)
+	}
+	return s, s.Check()
+}
+
+// Sweep plays seeds from one on, several at a time, and tells of each in the order of seeds.
+func Sweep(ctx context.Context, profile string, from, n uint64, atOnce int, tell func(*Report)) error {
+	if _, err := Generate(profile, from); err != nil {
+		return err
+	}
+	type result struct {
+		r   *Report
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make([]chan result, n)
+	for i := range results {
+		results[i] = make(chan result, 1)
+	}
+	var next uint64
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	defer running.Wait()
+	for range min(uint64(atOnce), n) {
+		running.Go(func() {
+			for ctx.Err() == nil {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= n {
+					return
+				}
+				s, err := Generate(profile, from+i)
+				var r *Report
+				if err == nil {
+					r, _, err = Play(s, nil)
+				}
+				results[i] <- result{r, err}
+			}
+		})
+	}
+	for i := range results {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case x := <-results[i]:
+			if x.err != nil {
+				return fmt.Errorf("seed %d: %w", from+uint64(i), x.err)
+			}
+			tell(x.r)
+		}
+	}
+	return nil
+}
+
+// Summary is what many seeds came to.
+type Summary struct {
+	Profile  string
+	Seeds    int
+	Broken   int
+	First    uint64 // the first seed that broke something
+	Events   int
+	Handled  int
+	Launches int
+	Steps    int
+	Restarts int
+	Virtual  float64
+	Met      map[string]int
+	began    time.Time
+}
+
+// NewSummary begins one now.
+func NewSummary(profile string) *Summary {
+	return &Summary{Profile: profile, Met: map[string]int{}, began: time.Now()}
+}
+
+// Add counts a report.
+func (s *Summary) Add(r *Report) {
+	s.Seeds++
+	if !r.OK() {
+		if s.Broken++; s.Broken == 1 {
+			s.First = r.Seed
+		}
+	}
+	s.Events += r.Events
+	s.Handled += r.Handled
+	s.Launches += r.Launches
+	s.Steps += r.Steps
+	s.Restarts += r.Restarts
+	s.Virtual += r.Virtual
+	for k, n := range r.Met {
+		s.Met[k] += n
+	}
+}
+
+// Missed are the kinds of fault that met none of the front ends' states, and pairs of the two that never met.
+func (s *Summary) Missed() (never []string) {
+	for _, k := range Kinds() {
+		met := false
+		for _, state := range States() {
+			met = met || s.Met[k+" "+state] > 0
+		}
+		if !met {
+			never = append(never, k)
+		}
+	}
+	return
+}
+
+// String is the summary with a table of which faults met which states.
+func (s *Summary) String() string {
+	var b strings.Builder
+	took := time.Since(s.began).Seconds()
+	fmt.Fprintf(&b, "%d seeds of %s, %d broke something; %d events, %d handled, %d launches, %d restarts of boxes\n", s.Seeds, s.Profile, s.Broken,
+		s.Events, s.Handled, s.Launches, s.Restarts)
+	fmt.Fprintf(&b, "%.0f virtual seconds in %.1f: %.0f for one; %.0f steps and %.0f events a second\n\n", s.Virtual, took, s.Virtual/took,
+		float64(s.Steps)/took, float64(s.Events)/took)
+	states := States()
+	width := 0
+	var kinds []string
+	for _, k := range Kinds() {
+		for _, state := range states {
+			if s.Met[k+" "+state] > 0 {
+				kinds = append(kinds, k)
+				width = max(width, len(k))
+				break
+			}
+		}
+	}
+	sort.Strings(kinds)
+	fmt.Fprintf(&b, "%-*s", width, "fault met")
+	for _, state := range states {
+		fmt.Fprintf(&b, "  %s", state)
+	}
+	b.WriteString("\n")
+	for _, k := range kinds {
+		fmt.Fprintf(&b, "%-*s", width, k)
+		for _, state := range states {
+			fmt.Fprintf(&b, "  %*d", len(state), s.Met[k+" "+state])
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- a/workers/pool.go
+++ b/workers/pool.go
@@ -218,6 +218,20 @@
 	p.write(c, c.job)
 }
 
+// Withdraw takes a launch back of which nothing has left; false where something may have. A dial goes on for the next
+// one.
+func (p *Pool) Withdraw(no uint64) bool {
+	j := p.jobs[no]
+	if j == nil || j.sent {
+		return false
+	}
+	delete(p.jobs, no)
+	if j.conn != nil {
+		j.conn.job = nil
+	}
+	return true
+}
+
 // Abandon gives a launch up: its connection is closed, which tells the worker that nobody waits.
 func (p *Pool) Abandon(now float64, no uint64) {
 	j := p.jobs[no]
