--- a/cmd/streamcleat/sim.go
+++ b/cmd/streamcleat/sim.go
@@ -53,7 +53,7 @@
 		}
 		return nil
 	}
-	cmd.AddCommand(simReplay(), simShrink(), simProfiles())
+	cmd.AddCommand(simReplay(), simShrink(), simProfiles(), simExplore())
 	return cmd
 }
 
@@ -175,3 +175,26 @@
 		return nil
 	}}
 }
+
+func simExplore() *cobra.Command {
+	var depth, most int
+	cmd := &cobra.Command{Use: "explore", Short: "Go every order of a small world to a depth, and check rules 1 to 3", Args: cobra.NoArgs}
+	cmd.Flags().IntVar(&depth, "depth", 6, "moves")
+	cmd.Flags().IntVar(&most, "states", 2_000_000, "worlds after which it ends")
+	cmd.RunE = func(*cobra.Command, []string) error {
+		if depth < 1 || most < 1 {
+			return exit{2, fmt.Errorf("--depth and --states must be above 0")}
+		}
+		x := sim.Explore(depth, most)
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(x); err != nil {
+			return err
+		}
+		if len(x.Broke) > 0 {
+			return exit{1, fmt.Errorf("%d ways broke a rule", len(x.Broke))}
+		}
+		return nil
+	}
+	return cmd
+}
--- a/frontend/front.go
+++ b/frontend/front.go
@@ -92,11 +92,13 @@
 	log      *slog.Logger
 	core     *gateway.Core
 	pool     *workers.Pool
-	listed   *workers.Listed           // as the file has it
-	offset   float64                   // from Unix seconds to the host's clock, when it was read
-	list     *workers.Listed           // in force
-	drained  map[control.WorkerID]bool // by order
-	unload   uint64                    // numbers of unload orders, from the top down
+	listed   *workers.Listed              // as the file has it
+	offset   float64                      // from Unix seconds to the host's clock, when it was read
+	stated   map[control.WorkerID]float64 // when workers started, in Unix seconds as the file has it
+	readAt   float64                      // on the host's clock
+	list     *workers.Listed              // in force
+	drained  map[control.WorkerID]bool    // by order
+	unload   uint64                       // numbers of unload orders, from the top down
 	clients  []*Client
 	backends map[workers.Conn]Conn
 	askers   map[gateway.Asker]source
--- a/frontend/list.go
+++ b/frontend/list.go
@@ -21,24 +21,34 @@
 	return nil
 }
 
-// steady keeps the start times of an earlier reading where they mean the same: the clocks drift apart by parts of
-// a second, and a worker must not seem to have started anew for that.
+// steady settles when workers started. The file tells it by a time of day, and the machines' clocks differ and are set:
+// a worker started anew only where the file says another time than before, whatever the clock here does; then it did so
+// after the last reading that said the old one, however long ago that time seems to be. Nothing started in the future.
 func (f *Front) steady(list *workers.Listed) {
-	if f.listed == nil {
-		return
-	}
-	was := make(map[control.WorkerID]float64, len(f.listed.Workers))
-	for _, wk := range f.listed.Workers {
-		was[wk.ID] = wk.Born
+	now := f.host.Now()
+	was := make(map[control.WorkerID]int, len(list.Workers))
+	if f.listed != nil {
+		for i, wk := range f.listed.Workers {
+			was[wk.ID] = i
+		}
 	}
+	stated := make(map[control.WorkerID]float64, len(list.Workers))
 	for i := range list.Workers {
 		wk := &list.Workers[i]
-		if old, ok := was[wk.ID]; ok {
-			if d := old - wk.Born; d > -0.5 && d < 0.5 {
-				wk.Born = old
-			}
+		if wk.Born > 0 {
+			stated[wk.ID] = wk.Born - f.offset
+			wk.Born = min(wk.Born, now)
+		}
+		old, known := was[wk.ID]
+		switch d := stated[wk.ID] - f.stated[wk.ID]; {
+		case !known || f.listed.Address[wk.ID] != list.Address[wk.ID]:
+		case d > -0.5 && d < 0.5:
+			wk.Born = f.listed.Workers[old].Born
+		case wk.Born > 0:
+			wk.Born = max(wk.Born, f.readAt)
 		}
 	}
+	f.stated, f.readAt = stated, now
 }
 
 // relist puts the list in force that the file and the operators' orders make together.
@@ -75,17 +85,8 @@
 	}
 }
 
-// started is a worker's start in Unix seconds, 0 where the list tells none.
-func (f *Front) started(id control.WorkerID) float64 {
-	if f.list != nil {
-		for _, wk := range f.list.Workers {
-			if wk.ID == id && wk.Born > 0 {
-				return wk.Born - f.host.Now() + float64(f.host.Wall().UnixNano())/1e9
-			}
-		}
-	}
-	return 0
-}
+// started is a worker's start in Unix seconds as the list tells it, 0 where it tells none.
+func (f *Front) started(id control.WorkerID) float64 { return f.stated[id] }
 
 // Knows is what this front end believes of copies.
 func (f *Front) Knows() []gateway.Known { return f.core.Knows(f.started) }
--- a/sim/client.go
+++ b/sim/client.go
@@ -16,7 +16,7 @@
 	no           int
 	tries        int
 	front        int
-	until        float64 // no try begins after it
+	first, until float64 // when it was first asked; no try begins after until
 	leaves       float64 // hangs up so long after its ask; 0: waits
 	checks       int     // repeats of what was handled, to see that the answer is the same
 }
@@ -86,7 +86,7 @@
 		pick -= m.share
 	}
 	e := &event{id: fmt.Sprintf("%s-%d", c.name, c.no), kind: kind, no: c.no, fn: c.s.functions[c.zipf.Uint64()].Name,
-		front: c.rng.IntN(len(c.s.fronts)), until: c.w.now + 3*maxAge}
+		front: c.rng.IntN(len(c.s.fronts)), first: c.w.now, until: c.w.now + 3*maxAge}
 	if c.rng.Float64() < c.s.leaving() {
 		e.leaves = 0.01 + c.rng.Float64()*maxAge
 	}
@@ -231,6 +231,13 @@
 		return
 	}
 	if move && e.kind != "price-reset" && len(c.s.fronts) > 1 && c.rng.IntN(3) == 0 {
+		// Front ends share nothing: one that never heard of the event can't know when workers forget it.
+		if known := e.first + c.s.script.Remember - maxAge; e.kind == "till-entry" {
+			if c.w.now+pause >= known {
+				return
+			}
+			e.until = min(e.until, known)
+		}
 		e.front = (e.front + 1) % len(c.s.fronts)
 	}
 	c.in(pause, "asks again for "+e.id, func() { c.try(e) })
--- a/sim/net.go
+++ b/sim/net.go
@@ -251,6 +251,7 @@
 }
 
 func (c *conn) reset() {
+	c.dead = true // what is written from now on goes nowhere
 	for _, e := range c.ends {
 		e.queue, e.due, e.waiting = nil, nil, 0
 	}
