Simulated boxes have versions, chores and clients that wait less than they may

The store's background work and the registry of functions were not in the simulation, and no client waited less than its event's kind allows.

Boxes now tick, expire and compact through Chores; a third of the sites have versions whose aliases move, are released all at once or taken back within a second; some clients say how long they wait. Found and mended: compaction on a full disk ended the process by a panic of the store's library, and what came after could wait for a lock that the panic left held; a store that panicked is not entered again.

--- a/durable/store.go
+++ b/durable/store.go
@@ -66,6 +66,7 @@
 	wake   chan struct{}
 	done   chan struct{}
 	closed bool
+	broken atomic.Bool  // the library panicked, maybe with a lock held: it is not entered any more
 	Syncs  atomic.Int64 // commits that waited for the disk
 	Notes  atomic.Int64 // notes in them
 }
@@ -264,6 +265,19 @@
 	}
 }
 
+var errBroken = errors.New("the store's library gave up on the disk")
+
+// caught is the same for an open store, which is not entered again.
+func (s *Store) caught(err *error) {
+	if p := recover(); p != nil {
+		s.broken.Store(true)
+		func() {
+			defer caught(err)
+			panic(p)
+		}()
+	}
+}
+
 func openDB(dir string, opt Options) (db *pebble.DB, err error) {
 	defer caught(&err)
 	return pebble.Open(dir, &pebble.Options{FS: opt.FS, Logger: quiet{opt.Log}, MemTableSize: 4 << 20,
@@ -492,7 +506,10 @@
 }
 
 func (s *Store) apply(list []pending) (err error) {
-	defer caught(&err)
+	if s.broken.Load() {
+		return errBroken
+	}
+	defer s.caught(&err)
 	b := s.db.NewBatch()
 	for _, p := range list {
 		s.Notes.Add(int64(p.n))
@@ -565,7 +582,11 @@
 
 // Expire lets go of at most so many records whose remembered time is over and tells how many it looked at; fewer
 // than most means that nothing more is due.
-func (s *Store) Expire(most int) (int, error) {
+func (s *Store) Expire(most int) (looked int, err error) {
+	if s.broken.Load() {
+		return 0, errBroken
+	}
+	defer s.caught(&err)
 	now := s.now()
 	var ops []op
 	n := 0
@@ -599,10 +620,19 @@
 }
 
 // Size is the bytes on disk.
-func (s *Store) Size() uint64 { return s.db.Metrics().DiskSpaceUsage() }
+func (s *Store) Size() uint64 {
+	if s.broken.Load() {
+		return 0
+	}
+	return s.db.Metrics().DiskSpaceUsage()
+}
 
 // Compact gives back the room of what was let go.
-func (s *Store) Compact() error {
+func (s *Store) Compact() (err error) {
+	if err := s.Failed(); err != nil {
+		return err
+	}
+	defer s.caught(&err)
 	return s.db.Compact(context.Background(), expiryPrefix, []byte("y"), false)
 }
 
@@ -636,6 +666,9 @@
 }
 
 func (s *Store) closeDB() (err error) {
-	defer caught(&err)
+	if s.broken.Load() {
+		return errBroken
+	}
+	defer s.caught(&err)
 	return s.db.Close()
 }
--- a/referee/judge.go
+++ b/referee/judge.go
@@ -323,6 +323,9 @@
 			}
 			ran[r.Event][r.Digest] = true
 		case Answered:
+			if j.rules.Apart && j.rules.Effect[r.Type] == "keyed" {
+				continue // workers drop what ran for another front end, maybe on another version
+			}
 			if r.Outcome == Handled && len(ran[r.Event]) > 0 && !ran[r.Event][r.Digest] {
 				j.fault(&j.v.Versions, "version", "%s was answered in the name of %q, which did not run it", r.Event, r.Digest)
 			}
--- a/sim/box.go
+++ b/sim/box.go
@@ -12,6 +12,7 @@
 	"streamcleat/frontend"
 	"streamcleat/gateway"
 	"streamcleat/h1"
+	"streamcleat/handlers"
 	"streamcleat/referee"
 	"streamcleat/timers"
 	"streamcleat/workers"
@@ -36,9 +37,12 @@
 	acked   map[gateway.Identity]gateway.Note // noted, and on disk for all that the program was told
 	ackedAt map[gateway.Identity]float64
 	pending map[gateway.Identity][]gateway.Note // noted, and not yet told to be on disk
-	own     map[gateway.Identity]uint64         // the box's own events that are open: their calls
-	again   float64                             // seconds from a stop to the next start
-	silent  bool                                // the watcher of the list misses changes
+	chores  *appliance.Chores
+	reg     *handlers.Registry
+	trail   int                         // entries of it that are on disk for all that the program was told
+	own     map[gateway.Identity]uint64 // the box's own events that are open: their calls
+	again   float64                     // seconds from a stop to the next start
+	silent  bool                        // the watcher of the list misses changes
 }
 
 // front is one front end of a box. It outlives the process: clients know it by its address.
@@ -111,8 +115,10 @@
 		}
 		b.store, b.found = store, found
 		b.s.recovered(b, found)
+		b.library(found.Trail)
 	} else {
 		b.found = &durable.Found{Fresh: true, Fired: map[string]time.Time{}}
+		b.library(nil)
 	}
 	b.move(appliance.Opened, "")
 }
@@ -211,9 +217,54 @@
 	for _, o := range b.found.Own {
 		b.take(o.Ask, o.Until, 1)
 	}
+	b.chores = appliance.NewChores(b.w.now, appliance.Chore{Name: "tick", Every: 1, Priority: 3, Slice: 0.05, Urgent: true},
+		appliance.Chore{Name: "expiry", Every: 2, Priority: 2, Slice: 0.02, Share: 0.05, Patience: 5},
+		appliance.Chore{Name: "compaction", Every: 7, Priority: 1, Slice: 1, Share: 0.05, Patience: 10})
+	b.in(0.1, "chores", b.work)
 	b.move(appliance.Recovered, "")
 }
 
+// work gives a slice to the chore that is due, as the real box does.
+func (b *box) work() {
+	if b.store == nil || b.life.State >= appliance.Finishing {
+		return
+	}
+	name, _ := b.chores.Pick(b.w.now, 0)
+	more := false
+	err := b.written(func() (err error) {
+		switch name {
+		case "tick":
+			var known []gateway.Known
+			for _, f := range b.fronts {
+				known = append(known, f.f.Knows()...)
+			}
+			err = b.store.Tick(known)
+		case "expiry":
+			n := 0
+			n, err = b.store.Expire(50)
+			more = n == 50
+		case "compaction":
+			err = b.store.Compact()
+		}
+		return
+	})
+	if !b.up {
+		return
+	}
+	b.chores.Done(b.w.now, name, 0.005, more, err)
+	b.in(0.1, "chores", b.work)
+}
+
+// written does something with the store; where the machine stops in the middle of a record nothing follows.
+func (b *box) written(do func() error) error {
+	torn := b.disk.Torn
+	err := do()
+	if b.disk.Torn > torn {
+		b.crash(true, 0.3)
+	}
+	return err
+}
+
 // tag names one process of a front end: a new one shares nothing with the last but the state on disk.
 func (f *front) tag() string { return fmt.Sprintf("%s/%d", f.name, f.b.boots) }
 
@@ -222,6 +273,9 @@
 	set := frontend.Settings{Name: f.name, Cluster: "sim", Core: b.s.cfg.Core(b.s.script.Seed*1000 + uint64(f.peer)), Pool: b.s.cfg.Pool(f.name),
 		Front: b.s.cfg.Front(), MostConns: b.s.cfg.Limits.Connections, Kept: b.found.Events, Known: b.found.Known,
 		KeepWithin: b.s.cfg.Limits.Margin / 2}
+	if b.s.script.Versions {
+		set.Core.Bind, set.Core.MayRun = b.bind, b.mayRun
+	}
 	set.Core.Deployment.FrontEnds, set.Core.Deployment.MayTell = len(b.s.fronts), len(b.s.fronts) > 1
 	if b.store != nil {
 		set.Keeper = b
@@ -335,9 +389,10 @@
 			}
 			switch {
 			case strings.HasSuffix(m.Target, "/infer"):
-				open = referee.Record{Kind: referee.Launched, Worker: wk, Function: strings.Split(m.Target, "/")[3], Front: f.tag(), Call: s.tape.Call(),
+				open = referee.Record{Kind: referee.Launched, Worker: wk, Function: strings.Split(m.Target, "/")[3], Digest: strings.Trim(m.Header.Get("If-Match"), `"`), Front: f.tag(), Call: s.tape.Call(),
 					Event: m.Header.Get("Ce-Source") + "#" + m.Header.Get("Ce-Id"), Type: m.Header.Get("Ce-Type")}
 				s.tape.Add(open)
+				s.calls[f.name+" "+open.Event] = open.Call
 			case strings.HasSuffix(m.Target, "/load"):
 				s.tape.Add(referee.Record{Kind: referee.Ordered, Worker: wk, Front: f.tag(), Copies: 1})
 			}
@@ -394,11 +449,10 @@
 		if b.store == nil { // closed meanwhile, which wrote what waited
 			return
 		}
-		torn := b.disk.Torn
-		b.store.Step()
-		if b.disk.Torn > torn { // the machine stopped in the middle of a record
-			b.crash(true, 0.3)
-		}
+		b.written(func() error {
+			b.store.Step()
+			return nil
+		})
 	})
 }
 
@@ -459,10 +513,7 @@
 		}
 		var err error
 		if b.store != nil {
-			torn := b.disk.Torn
-			err = b.store.Fired(notes)
-			if b.disk.Torn > torn {
-				b.crash(true, 0.3)
+			if err = b.written(func() error { return b.store.Fired(notes) }); !b.up {
 				return
 			}
 		}
@@ -502,7 +553,7 @@
 			b.s.ownLost(call)
 		} else {
 			b.s.tape.Add(referee.Record{Kind: referee.Answered, Event: ask.Identity.String(), Type: ask.Type, Front: f.tag(), Call: call,
-				Outcome: a.Kind.String()})
+				Outcome: a.Kind.String(), Digest: a.Binding.Digest})
 		}
 		switch {
 		case a.Cause == gateway.Stopping && a.Kind == gateway.Deferred:
--- a/sim/client.go
+++ b/sim/client.go
@@ -17,6 +17,8 @@
 	tries        int
 	front        int
 	first, until float64 // when it was first asked; no try begins after until
+	wait         float64 // that it says it waits; 0: says nothing, and waits as long as its kind may
+	twin         bool    // asked for by two programs, neither of which knows where the other asked
 	leaves       float64 // hangs up so long after its ask; 0: waits
 	checks       int     // repeats of what was handled, to see that the answer is the same
 }
@@ -93,9 +95,14 @@
 	if c.rng.IntN(6) == 0 {
 		e.checks = 1 + c.rng.IntN(2)
 	}
+	e.twin = c.rng.IntN(12) == 0
+	if c.rng.IntN(8) == 0 {
+		e.wait = 0.4 + (maxAge-0.4)*c.rng.Float64()
+	}
 	c.try(e)
-	if c.rng.IntN(12) == 0 { // another program of the same machine asks for the same event
+	if e.twin { // another program of the same machine asks for the same event
 		twin := *e
+		twin.wait = 0
 		twin.leaves, twin.checks = 0, 0
 		c.in(c.rng.Float64()*0.1, "twin", func() { c.try(&twin) })
 	}
@@ -104,19 +111,22 @@
 // try asks once.
 func (c *client) try(e *event) {
 	e.tries++
-	f := c.s.fronts[e.front]
+	f, wait := c.s.fronts[e.front], maxAge
+	if e.wait > 0 {
+		wait = e.wait
+	}
 	t := &try{evt: e, call: c.s.tape.Call(), front: f, tag: f.tag(), at: c.w.now}
 	var l *line
 	for _, x := range c.lines {
-		if x.to == f && !x.shut && c.w.now-x.used < idleClient/2 && (e.kind != "price-reset" || len(x.out) == 0) && (len(x.out) == 0 || x.e != nil && len(x.out) < 3 && c.rng.IntN(6) == 0) {
+		if x.to == f && !x.shut && c.w.now-x.used < idleClient/2 && (e.kind != "price-reset" && e.wait == 0 || len(x.out) == 0) && (len(x.out) == 0 || x.e != nil && len(x.out) < 3 && c.rng.IntN(6) == 0) {
 			l = x
 			break
 		}
 	}
 	c.s.tape.Add(referee.Record{Kind: referee.Asked, Event: source + "#" + e.id, Type: e.kind, Function: e.fn, Front: f.tag(), Call: t.call,
-		Wait: maxAge})
+		Wait: wait})
 	c.s.asked(t)
-	t.limit = c.in(maxAge, "gives up "+e.id, func() { c.late(t) })
+	t.limit = c.in(wait, "gives up "+e.id, func() { c.late(t) })
 	if e.leaves > 0 {
 		c.in(e.leaves, "leaves "+e.id, func() { c.leave(t) })
 	}
@@ -158,9 +168,12 @@
 
 func (c *client) write(l *line, t *try) {
 	e := t.evt
-	body := fmt.Sprintf(`{"count":%d}`, e.no)
+	body, prefer := fmt.Sprintf(`{"count":%d}`, e.no), ""
+	if e.wait > 0 { // what is left of it when it is sent
+		prefer = fmt.Sprintf("Prefer: wait=%.3f\r\n", max(t.at+e.wait-c.w.now, 0))
+	}
 	l.e.write(fmt.Appendf(nil, "POST /events HTTP/1.1\r\nHost: f\r\nce-specversion: 1.0\r\nce-source: %s\r\nce-id: %s\r\nce-type: %s\r\n"+
-		"ce-function: %s\r\nce-tenant: shop\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", source, e.id, e.kind, e.fn, len(body), body))
+		"ce-function: %s\r\nce-tenant: shop\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", source, e.id, e.kind, e.fn, prefer, len(body), body))
 }
 
 func (c *client) heard(l *line, data []byte) {
@@ -205,7 +218,7 @@
 		c.s.fault("client", "%s: status %d: %s", t.evt.id, m.Status, m.Body)
 	}
 	c.s.tape.Add(referee.Record{Kind: referee.Answered, Event: source + "#" + t.evt.id, Type: t.evt.kind, Front: t.tag, Call: t.call,
-		Status: m.Status, Outcome: out})
+		Status: m.Status, Outcome: out, Digest: m.Header.Get("Docker-Content-Digest")})
 	c.s.answered(t, out)
 	e := t.evt
 	switch {
@@ -230,7 +243,7 @@
 	if c.w.now+pause > e.until || e.tries >= 6 || c.quit && c.w.now+pause > c.s.script.Seconds+lastTry {
 		return
 	}
-	if move && e.kind != "price-reset" && len(c.s.fronts) > 1 && c.rng.IntN(3) == 0 {
+	if move && e.kind != "price-reset" && !(e.twin && e.kind == "till-entry") && len(c.s.fronts) > 1 && c.rng.IntN(3) == 0 {
 		// Front ends share nothing: one that never heard of the event can't know when workers forget it.
 		if known := e.first + c.s.script.Remember - maxAge; e.kind == "till-entry" {
 			if c.w.now+pause >= known {
--- a/sim/mutants/main.go
+++ b/sim/mutants/main.go
@@ -73,8 +73,14 @@
 		}
 		caught := fmt.Sprint(n)
 		if n == 0 {
-			survived++
-			caught, by = fmt.Sprintf("none of %d", seeds), "survives"
+			caught = fmt.Sprintf("none of %d", seeds)
+			if by, err = m.explore(binary); err != nil {
+				return survived, fmt.Errorf("%s: %w", m.Name, err)
+			}
+			if by == "" {
+				survived++
+				by = "survives"
+			}
 		}
 		rows = append(rows, []string{m.About, m.File, caught, by})
 		fmt.Fprintf(os.Stderr, "%s: %s (%s)\n", m.Name, caught, by)
@@ -115,6 +121,24 @@
 	return binary, nil
 }
 
+// explore goes every order of the small world, in which cores stand without what guards them from outside.
+func (m mutant) explore(binary string) (by string, err error) {
+	out, err := exec.Command(binary, "sim", "explore", "--depth", "6").Output()
+	var ended *exec.ExitError
+	if err != nil && !errors.As(err, &ended) {
+		return "", err
+	}
+	var x sim.Explored
+	if err := json.Unmarshal(out, &x); err != nil {
+		return "", err
+	}
+	if len(x.Broke) == 0 {
+		return "", nil
+	}
+	by, _, _ = strings.Cut(x.Broke[0], ":")
+	return "every order: " + by, nil
+}
+
 // hunt runs seeds until one breaks something. A program that ends or panics is caught too.
 func (m mutant) hunt(binary string, seeds uint64) (n int, by string, err error) {
 	profile := m.Profile
--- a/sim/run.go
+++ b/sim/run.go
@@ -74,6 +74,7 @@
 	hangUp     float64
 	abused     bool
 	closing    sync.WaitGroup
+	calls      map[string]uint64 // by front end and event: the newest launch
 	restarts   int
 	checks     int
 }
@@ -127,7 +128,7 @@
 	w := newWorld()
 	s := &site{w: w, script: script, net: newNetwork(w, chance(script.Seed, "network")), kinds: map[string]string{}, remembered: map[string]float64{},
 		reboots: map[int]int{}, minutes: map[string]int{}, open: map[int]*trouble{}, byTry: map[*try]*attempt{}, byCall: map[uint64]*attempt{},
-		seen: map[string]int{}, met: map[string]int{}, store: &store{w: w, pace: 4, slow: 1}}
+		calls: map[string]uint64{}, seen: map[string]int{}, met: map[string]int{}, store: &store{w: w, pace: 4, slow: 1}}
 	s.tape = referee.NewTapeOn(func() float64 { return w.now })
 	s.functions = standin.Catalogue(script.Functions, script.Work, script.Seed)
 	s.rules = referee.Rules{Effect: map[string]string{"shop-event": "redeliverable", "till-entry": "keyed", "price-reset": "at-most-once"},
@@ -636,6 +637,24 @@
 				k.void()
 			}
 		}
+	case "alias", "release", "back-and-forth":
+		if !s.script.Versions || !b.up || b.still || b.life.State != appliance.Serving {
+			return
+		}
+		no, to := f.Worker*7+f.Client, int(f.Size)
+		switch f.Kind {
+		case "alias":
+			b.turn(no, to)
+		case "release":
+			for i := range s.functions {
+				if b.up {
+					b.turn(i, to)
+				}
+			}
+		case "back-and-forth":
+			b.turn(no, 1)
+			b.in(f.Size, "takes the alias back", func() { b.turn(no, 0) })
+		}
 	case "forgetful":
 		clear(s.remembered)
 	case "storm":
--- a/sim/script.go
+++ b/sim/script.go
@@ -51,7 +51,8 @@
 	Stateless bool    `json:"stateless,omitempty"`
 	Cold      bool    `json:"cold,omitempty"`
 	Ration    bool    `json:"ration,omitempty"`
-	Remember  float64 `json:"remember"` // seconds for which workers drop repeats of keyed events
+	Versions  bool    `json:"versions,omitempty"` // functions have versions, and aliases that move
+	Remember  float64 `json:"remember"`           // seconds for which workers drop repeats of keyed events
 	Faults    []Fault `json:"faults"`
 }
 
@@ -115,6 +116,10 @@
 	{name: "store-stop", group: "store", strike: "", span: [2]float64{0.2, 3}},
 	{name: "flush", group: "store", strike: ""},
 
+	{name: "alias", group: "release", strike: "box", size: [2]float64{0, versionsOf}},      // one function's alias moves
+	{name: "release", group: "release", strike: "box", size: [2]float64{0, versionsOf}},    // those of all do
+	{name: "back-and-forth", group: "release", strike: "box", size: [2]float64{0.01, 0.9}}, // one moves and is taken back
+
 	{name: "storm", group: "load", strike: "", span: [2]float64{0.5, 3}, size: [2]float64{2, 6}},
 	{name: "hang-up", group: "load", strike: "", span: [2]float64{0.5, 4}, size: [2]float64{0.2, 0.9}},
 	{name: "abuse", group: "load", strike: "", span: [2]float64{0.5, 3}},
@@ -153,10 +158,11 @@
 	s.Rate = min(s.Rate, 50)
 	s.Timers = pick(rng, 0, 2, 6)
 	s.Remember = float64(pick(rng, 4, 8, 30))
+	s.Versions = rng.IntN(3) == 0
 	s.OnEvent, s.Ration, s.Cold = rng.IntN(2) == 0, rng.IntN(3) == 0, rng.IntN(6) == 0
 }
 
-var all = []string{"network", "disk", "process", "worker", "store", "load"}
+var all = []string{"network", "disk", "process", "worker", "store", "release", "load"}
 
 var profiles = map[string]profile{
 	"day":      {about: "small sites, every kind of fault that is promised to be survived", groups: all, shape: small, most: 12},
@@ -173,8 +179,9 @@
 		small(s, rng)
 		s.Workers = 3
 	}, most: 2, always: []Fault{{At: 2, Kind: "crash", Worker: 0, Size: 0.5}, {At: 2, Kind: "crash", Worker: 1, Size: 0.7}, {At: 2.1, Kind: "crash", Worker: 2, Size: 0.9}}},
-	"release": {about: "a release of all functions while the store is slow", groups: []string{"store", "load"}, shape: small, most: 4,
-		always: []Fault{{At: 2, Kind: "flush"}, {At: 2, Kind: "store-slow", For: 4, Size: 5}}},
+	"release": {about: "a release of all functions while the store is slow", groups: []string{"store", "load", "release", "process"}, most: 8,
+		shape:  func(s *Script, rng *rand.Rand) { small(s, rng); s.Versions = true },
+		always: []Fault{{At: 2, Kind: "release", Size: 1}, {At: 2, Kind: "flush"}, {At: 2, Kind: "store-slow", For: 4, Size: 5}}},
 	"grown": {about: "80 front ends and 70 workers", groups: all, most: 12, shape: func(s *Script, rng *rand.Rand) {
 		s.Seconds, s.Boxes, s.PerBox, s.Workers, s.Cores, s.Functions, s.Clients = 6, 40, 2, 70, 2, 60, 30
 		s.Work, s.Rate, s.Timers, s.Remember, s.OnEvent = 0.05, 400, 10, 30, rng.IntN(2) == 0
--- /dev/null
+++ b/sim/versions.go
@@ -0,0 +1,95 @@
+package sim
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/opencontainers/go-digest"
+
+	"streamcleat/gateway"
+	"streamcleat/handlers"
+)
+
+// versionsOf are the versions that every function has in a site with versions.
+const versionsOf = 3
+
+func versionOf(fn string, no int) *handlers.Version {
+	name := fmt.Sprintf("1.%d", no)
+	return &handlers.Version{Function: fn, Name: name, Digest: digest.FromString(fn + ":" + name)}
+}
+
+// library takes up the registry of functions from the audit trail, and makes it where there is none.
+func (b *box) library(trail [][]byte) {
+	b.reg = handlers.New()
+	if !b.s.script.Versions {
+		return
+	}
+	for i, data := range trail {
+		var e handlers.Entry
+		if err := errors.Join(json.Unmarshal(data, &e), b.reg.Apply(e)); err != nil && e.Who != "" {
+			b.s.fault("trail", "%s: entry %d: %v", b.name, i, err)
+		}
+	}
+	if n := len(b.reg.Trail); n < b.trail {
+		b.s.fault("trail", "%s was told that %d entries are kept and found %d", b.name, b.trail, n)
+	}
+	for _, f := range b.s.functions {
+		for no := range versionsOf {
+			if v := versionOf(f.Name, no); b.reg.Knows(f.Name) {
+				if _, err := b.reg.Find(f.Name + ":" + v.Name); err == nil {
+					continue
+				}
+				b.change(handlers.Entry{Publish: v})
+			} else {
+				b.change(handlers.Entry{Publish: v})
+			}
+		}
+		if _, err := b.reg.Find(f.Name); err != nil {
+			b.change(handlers.Entry{Move: &handlers.Move{Function: f.Name, Alias: handlers.Current, Digest: versionOf(f.Name, 0).Digest}})
+		}
+	}
+}
+
+// change makes a change of the registry, which is in force once it is on disk.
+func (b *box) change(e handlers.Entry) {
+	e.At, e.Who = b.w.now, "script"
+	if !b.up {
+		return
+	}
+	if b.store != nil {
+		data, err := json.Marshal(e)
+		if err == nil {
+			err = b.written(func() error { return b.store.Note(len(b.reg.Trail), data) })
+		}
+		if err != nil || !b.up {
+			return
+		}
+	}
+	if err := b.reg.Apply(e); err != nil {
+		b.s.fault("trail", "%s: %v", b.name, err)
+	}
+	b.trail = len(b.reg.Trail)
+}
+
+// turn moves the alias of a function to another version.
+func (b *box) turn(no, to int) {
+	f := b.s.functions[no%len(b.s.functions)]
+	v := versionOf(f.Name, to%versionsOf)
+	if _, err := b.reg.Find(f.Name + ":" + v.Name); err == nil {
+		b.change(handlers.Entry{Move: &handlers.Move{Function: f.Name, Alias: handlers.Current, Digest: v.Digest}})
+	}
+}
+
+func (b *box) bind(ask *gateway.Ask) (gateway.Binding, gateway.Function, error) {
+	fn := b.s.cfg.Function(ask.Function)
+	v, err := b.reg.Bind(ask.Function, ask.Type, ask.Tenant, ask.Identity.String())
+	if err != nil {
+		return gateway.Binding{}, fn, err
+	}
+	return gateway.Binding{ID: v.ID(), Function: v.Function, Version: v.Name, Digest: string(v.Digest)}, fn, nil
+}
+
+func (b *box) mayRun(x gateway.Binding) bool {
+	return b.reg.May(x.Function, digest.Digest(x.Digest))
+}
--- a/sim/worker.go
+++ b/sim/worker.go
@@ -39,6 +39,7 @@
 
 type copyOf struct {
 	fn       *standin.Function
+	digest   string // of the version that the copies are
 	standing int
 	loading  int
 	busy     int
@@ -56,6 +57,7 @@
 	warmth string
 	gone   bool // the front end closed the connection
 	began  bool
+	call   uint64 // the newest launch of the event by that front end
 }
 
 func (s *site) newWorker(no int, cold bool) *worker {
@@ -178,19 +180,21 @@
 	}
 	refuse := func(status int, why string) { answer(status, "", map[string]any{"error": why}) }
 	switch {
-	case len(parts) == 4 && parts[0] == "v2" && parts[1] == "models" && parts[3] == "infer":
+	case len(parts) >= 4 && parts[0] == "v2" && parts[1] == "models" && parts[len(parts)-1] == "infer":
 		id := m.Header.Get("Ce-Source") + "#" + m.Header.Get("Ce-Id")
-		j := &job{id: id, kind: m.Header.Get("Ce-Type"), answer: answer, warmth: "warm"}
-		k.infer(j, parts[2], e, refuse)
+		_, via, _ := strings.Cut(m.Header.Get("Via"), " ")
+		j := &job{id: id, kind: m.Header.Get("Ce-Type"), answer: answer, warmth: "warm", call: k.s.calls[via+" "+id]}
+		k.infer(j, parts[2], strings.Trim(m.Header.Get("If-Match"), `"`), e, refuse)
 		return j
 	case len(parts) == 5 && parts[1] == "repository" && parts[4] == "load":
 		var said struct {
 			Parameters struct {
-				Copies int `json:"copies"`
+				Copies int    `json:"copies"`
+				Digest string `json:"digest"`
 			} `json:"parameters"`
 		}
 		json.Unmarshal(m.Body, &said)
-		k.order(parts[3], max(said.Parameters.Copies, 1), answer, refuse)
+		k.order(k.find(parts[3], said.Parameters.Digest), max(said.Parameters.Copies, 1), answer, refuse)
 	case len(parts) == 5 && parts[1] == "repository" && parts[4] == "unload":
 		if c := k.byName[parts[3]]; c != nil && c.busy == 0 {
 			c.standing = 0
@@ -202,7 +206,29 @@
 	return nil
 }
 
-func (k *worker) infer(j *job, fn string, e *end, refuse func(int, string)) {
+// find is where the copies of a version are counted; nil for a function that is not known.
+func (k *worker) find(fn, digest string) *copyOf {
+	c := k.byName[fn]
+	if c == nil || digest == "" {
+		return c
+	}
+	v := k.byName[fn+"@"+digest]
+	if v == nil {
+		v = &copyOf{fn: c.fn, digest: digest}
+		k.copies = append(k.copies, v)
+		k.byName[fn+"@"+digest] = v
+	}
+	return v
+}
+
+func proof(c *copyOf) string {
+	if c.digest == "" {
+		return ""
+	}
+	return "Docker-Content-Digest: " + c.digest + "\r\n"
+}
+
+func (k *worker) infer(j *job, fn, digest string, e *end, refuse func(int, string)) {
 	switch {
 	case k.hit("hang"):
 		return
@@ -216,7 +242,7 @@
 		refuse(503, "full")
 		return
 	}
-	c := k.byName[fn]
+	c := k.find(fn, digest)
 	if c == nil {
 		refuse(404, "no such function")
 		return
@@ -277,7 +303,7 @@
 		}
 	}
 	if first {
-		k.s.tape.Add(referee.Record{Kind: referee.Ran, Worker: k.name, Event: j.id, Type: j.kind, Function: j.c.fn.Name})
+		k.s.tape.Add(referee.Record{Kind: referee.Ran, Worker: k.name, Event: j.id, Type: j.kind, Function: j.c.fn.Name, Digest: j.c.digest, Call: j.call})
 	}
 	took := j.c.fn.Work / k.speed / k.warmth() * (0.7 + 0.6*k.rng.Float64())
 	if k.on("slow") {
@@ -294,7 +320,7 @@
 			if !first {
 				body["parameters"] = map[string]any{"repeat": true}
 			}
-			j.answer(200, "Server-Timing: "+j.warmth+"\r\n", body)
+			j.answer(200, "Server-Timing: "+j.warmth+"\r\n"+proof(j.c), body)
 		}
 		k.pump()
 	})
@@ -357,8 +383,7 @@
 	return
 }
 
-func (k *worker) order(fn string, copies int, answer func(int, string, any), refuse func(int, string)) {
-	c := k.byName[fn]
+func (k *worker) order(c *copyOf, copies int, answer func(int, string, any), refuse func(int, string)) {
 	switch {
 	case c == nil:
 		refuse(404, "no such function")
@@ -377,7 +402,7 @@
 	tell = func(standing int) {
 		switch {
 		case standing >= copies || c.loading == 0 && standing > 0:
-			answer(200, "", map[string]any{"parameters": map[string]any{"copies": standing}})
+			answer(200, proof(c), map[string]any{"parameters": map[string]any{"copies": standing}})
 		case c.loading == 0:
 			refuse(500, "the load failed")
 		default:
