The change read again: a hung disk bounds its notes, revocations are tried again

Notes are bounded by two for each event that may be open; past that firm launches are refused and answers leave. Timers are compared at each simulated restart. Repeated code in the handler commands and the simulated clients is one place now.

--- a/appliance/registry.go
+++ b/appliance/registry.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	g.ring, g.keys = ring, data
+	g.ring, g.keys = ring, nil // what follows is begun again where it can't be kept
 	for _, f := range g.reg.List() {
 		for _, v := range f.Versions {
 			if v.Withdrawn || ring.Stands(v.Signed) {
@@ -173,6 +173,7 @@
 			log.Warn("version withdrawn", "function", v.Function, "version", v.Name, "why", why)
 		}
 	}
+	g.keys = data
 	return nil
 }
 
--- a/appliance/registry_test.go
+++ b/appliance/registry_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,6 +18,7 @@
 
 	"github.com/opencontainers/go-digest"
 
+	"streamcleat/durable"
 	"streamcleat/handlers"
 	"streamcleat/handlers/trust"
 	"streamcleat/referee"
@@ -321,3 +324,48 @@
 		}
 	}
 }
+
+// A revocation that can't be carried out for the disk is not taken for done.
+func TestRevocationIsTriedAgain(t *testing.T) {
+	dir := t.TempDir()
+	private, k, err := trust.NewKey("only", make([]byte, 32))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "keys.json")
+	write := func() {
+		data, _ := json.Marshal(trust.Ring{Need: 1, Keys: []trust.Key{k}})
+		if err := os.WriteFile(path, data, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write()
+	store, _, err := durable.OpenStore(filepath.Join(dir, "state"), durable.Options{Remember: 60})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	var g registry
+	if err := errors.Join(g.open(store, nil), g.rekey(path, log)); err != nil {
+		t.Fatal(err)
+	}
+	name, d := version(0)
+	e, err := trust.Sign("only", private, "tally", name, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := g.change(Change{Entry: handlers.Entry{Who: "test", Publish: &handlers.Version{Function: "tally", Name: name, Digest: d}},
+		Signatures: [][]byte{e}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	k.Revoked = true
+	write()
+	for range 2 {
+		if err := g.rekey(path, log); err == nil {
+			t.Error("the version stands, and nobody is told")
+		}
+	}
+}
--- a/cmd/streamcleat/handler.go
+++ b/cmd/streamcleat/handler.go
@@ -113,12 +113,11 @@
 
 func handlerPublish() *cobra.Command {
 	var v handlers.Version
-	var sum, file, from, user string
+	var from, user string
 	var signatures []string
 	cmd := &cobra.Command{Use: "publish FUNCTION:VERSION", Short: "Add a version; versions never change", Args: cobra.ExactArgs(1)}
+	manifest := manifestFlags(cmd)
 	f := cmd.Flags()
-	f.StringVar(&sum, "digest", "", "sha256:... of its manifest")
-	f.StringVar(&file, "file", "", "manifest whose digest it is, in place of --digest")
 	f.StringVar(&from, "from", "", "OCI registry, http(s)://host[/path], that has FUNCTION:VERSION; digest and figures come from there")
 	f.StringVar(&user, "user", "", "user at the registry; STREAMCLEAT_REGISTRY_SECRET holds the secret")
 	f.IntVar(&v.Lanes, "lanes", 0, "events that a copy runs at a time")
@@ -127,9 +126,9 @@
 	f.StringSliceVar(&v.Types, "types", nil, "event types that it takes; none: all")
 	f.StringSliceVar(&signatures, "signature", nil, "envelope of handler sign; --from finds those that the registry has by itself")
 	return change(cmd, func(_ *console.Client, args []string) (appliance.Change, error) {
-		name, version, ok := strings.Cut(args[0], ":")
-		if !ok {
-			return appliance.Change{}, exit{2, fmt.Errorf("%q is not FUNCTION:VERSION", args[0])}
+		name, version, err := versioned(args[0])
+		if err != nil {
+			return appliance.Change{}, err
 		}
 		var envelopes [][]byte
 		for _, path := range signatures {
@@ -146,18 +145,36 @@
 			}
 			return appliance.Change{Entry: handlers.Entry{Publish: &found}, Signatures: append(envelopes, more...)}, nil
 		}
-		v.Function, v.Name, v.Digest = name, version, digest.Digest(sum)
-		if file != "" {
-			data, err := os.ReadFile(file)
-			if err != nil {
-				return appliance.Change{}, err
-			}
-			v.Digest = digest.FromBytes(data)
+		v.Function, v.Name = name, version
+		if v.Digest, err = manifest(); err != nil {
+			return appliance.Change{}, err
 		}
 		return appliance.Change{Entry: handlers.Entry{Publish: &v}, Signatures: envelopes}, nil
 	})
 }
 
+// versioned cuts FUNCTION:VERSION.
+func versioned(arg string) (function, version string, err error) {
+	function, version, ok := strings.Cut(arg, ":")
+	if !ok {
+		return "", "", exit{2, fmt.Errorf("%q is not FUNCTION:VERSION", arg)}
+	}
+	return function, version, nil
+}
+
+// manifestFlags are the two ways to name a manifest: its digest, or the file whose digest it is.
+func manifestFlags(cmd *cobra.Command) func() (digest.Digest, error) {
+	sum := cmd.Flags().String("digest", "", "sha256:... of its manifest")
+	file := cmd.Flags().String("file", "", "manifest whose digest it is, in place of --digest")
+	return func() (digest.Digest, error) {
+		if *file == "" {
+			return digest.Digest(*sum), nil
+		}
+		data, err := os.ReadFile(*file)
+		return digest.FromBytes(data), err
+	}
+}
+
 // resolve asks an OCI registry for a version and for what vouches for it; what it reads on the way is not kept.
 func resolve(from, user, function, tag string) (v handlers.Version, signatures [][]byte, err error) {
 	dir, err := os.MkdirTemp("", "handler")
@@ -184,27 +201,22 @@
 
 // handlerSign makes an envelope in which a key vouches for a version.
 func handlerSign() *cobra.Command {
-	var sum, file, key, id, out string
+	var key, id, out string
 	cmd := &cobra.Command{Use: "sign FUNCTION:VERSION", Short: "Vouch for a version with a key", Args: cobra.ExactArgs(1)}
+	manifest := manifestFlags(cmd)
 	f := cmd.Flags()
-	f.StringVar(&sum, "digest", "", "sha256:... of its manifest")
-	f.StringVar(&file, "file", "", "manifest whose digest it is, in place of --digest")
 	f.StringVar(&key, "key", "", "private key, PEM")
 	f.StringVar(&id, "id", "", "the key's id in the ring; its file's name without .pem otherwise")
 	f.StringVarP(&out, "output", "o", "", "file for the envelope, DSSE JSON; standard output otherwise")
 	cmd.MarkFlagRequired("key")
 	cmd.RunE = func(_ *cobra.Command, args []string) error {
-		name, version, ok := strings.Cut(args[0], ":")
-		if !ok {
-			return exit{2, fmt.Errorf("%q is not FUNCTION:VERSION", args[0])}
+		name, version, err := versioned(args[0])
+		if err != nil {
+			return err
 		}
-		d := digest.Digest(sum)
-		if file != "" {
-			data, err := os.ReadFile(file)
-			if err != nil {
-				return err
-			}
-			d = digest.FromBytes(data)
+		d, err := manifest()
+		if err != nil {
+			return err
 		}
 		private, err := os.ReadFile(key)
 		if err != nil {
@@ -260,7 +272,7 @@
 	var every time.Duration
 	cmd := &cobra.Command{Use: "scrub", Short: "Check a content folder against its digests; what is wrong is let go and fetched anew by the next pull", Args: cobra.NoArgs}
 	cmd.Flags().StringVar(&dir, "folder", "handlers", "folder of handler pull")
-	cmd.Flags().DurationVar(&every, "every", 0, "pass over what was read or written within this time")
+	cmd.Flags().DurationVar(&every, "every", 0, "pass over what was written within this time")
 	cmd.RunE = func(*cobra.Command, []string) error {
 		if _, err := os.Stat(dir); err != nil {
 			return err
--- a/cmd/streamcleat/sim.go
+++ b/cmd/streamcleat/sim.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"runtime"
@@ -70,7 +71,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return sim.ReadScript(data)
+	s, err := sim.ReadScript(data)
+	if err != nil {
+		return nil, exit{2, fmt.Errorf("%s: %w", arg, err)}
+	}
+	return s, nil
 }
 
 func simReplay() *cobra.Command {
@@ -99,7 +104,7 @@
 			defer out.Flush()
 			told = func(line string) { fmt.Fprintln(out, line) }
 		}
-		digest := ""
+		digest, broke := "", false
 		for i := range max(times, 1) {
 			r, records, err := sim.Play(s, told)
 			if err != nil {
@@ -127,9 +132,10 @@
 					return err
 				}
 			}
-			if !r.OK() {
-				defer func() { os.Exit(1) }()
-			}
+			broke = !r.OK()
+		}
+		if broke {
+			return exit{1, errors.New("the script broke something")}
 		}
 		return nil
 	}
--- a/frontend/front.go
+++ b/frontend/front.go
@@ -106,6 +106,7 @@
 	asker    gateway.Asker
 	ops      []op
 	keep     keep
+	refused  []uint64 // launches whose notes can't be taken
 	lost     []gateway.Answer
 	born     float64 // on the clock
 	dirty    []*Client
@@ -176,8 +177,13 @@
 		return
 	}
 	f.settling = true
-	for len(f.ops) > 0 || len(f.dirty) > 0 || f.pool.Pending() {
+	for len(f.ops) > 0 || len(f.dirty) > 0 || len(f.refused) > 0 || f.pool.Pending() {
 		f.pool.Flush()
+		refused := f.refused
+		f.refused = nil
+		for _, job := range refused {
+			f.core.Launched(f.host.Now(), job, gateway.Reply{Result: control.NeverSent})
+		}
 		f.commit()
 		ops := f.ops
 		f.ops = nil
@@ -374,7 +380,7 @@
 func (f *Front) Check(full bool) error {
 	errs := []error{f.core.Check(full), f.pool.Check()}
 	fault := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
-	if n := len(f.dirty) + len(f.ops); n > 0 {
+	if n := len(f.dirty) + len(f.ops) + len(f.refused); n > 0 {
 		fault("%d things are left to be carried out", n)
 	}
 	slots := 0
@@ -432,7 +438,7 @@
 func (o *outside) Answer(to gateway.Asker, a gateway.Answer) {
 	f := (*Front)(o)
 	switch k := &f.keep; { // its note waits for the next commit, or is in the one that is out, or is kept
-	case !a.Firm || f.set.Keeper == nil:
+	case !a.Firm || f.set.Keeper == nil || f.full():
 		f.answer(to, a)
 	case len(k.notes) > 0:
 		f.hold(&k.held, to, a)
@@ -461,6 +467,10 @@
 
 func (o *outside) Launch(l gateway.Launch) {
 	if l.Firm && o.set.Keeper != nil {
+		if (*Front)(o).full() {
+			o.refused = append(o.refused, l.Job)
+			return
+		}
 		o.keep.held = append(o.keep.held, held{launch: &l})
 		return
 	}
@@ -477,8 +487,13 @@
 func (o *outside) Withdraw(job uint64) bool { return o.keep.abandon(job) || o.pool.Withdraw(job) }
 
 func (o *outside) Keep(n gateway.Note) {
-	if o.set.Keeper != nil {
+	switch {
+	case o.set.Keeper == nil:
+	case !(*Front)(o).full():
 		o.keep.notes = append(o.keep.notes, n)
+	case !o.keep.full:
+		o.keep.full = true
+		o.log.Error("the disk takes no notes: events that must not run twice are deferred", "waiting", len(o.keep.notes))
 	}
 }
 
--- a/frontend/keep.go
+++ b/frontend/keep.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"slices"
+
 	"streamcleat/control"
 	"streamcleat/gateway"
 )
@@ -21,8 +23,13 @@
 	out   []held // behind the commit that is out
 	busy  bool   // a commit is out
 	timed bool   // somebody looks at answers that wait too long
+	full  bool   // it was told that the disk takes no more
 }
 
+// full tells that so many notes wait that no more are taken: two for each event that may be open. What must not run
+// twice is not launched then, and answers wait for nothing, as where the disk fails.
+func (f *Front) full() bool { return len(f.keep.notes) >= 2*f.set.Core.MostOpen }
+
 // abandon takes back a launch that waits for its note; false where none does.
 func (k *keep) abandon(job uint64) (waited bool) {
 	for _, list := range [][]held{k.held, k.out} {
@@ -53,7 +60,7 @@
 func (f *Front) committed(err error) {
 	k := &f.keep
 	out := k.out
-	k.out, k.busy = nil, false
+	k.out, k.busy, k.full = nil, false, false
 	if err != nil {
 		f.log.Error("notes were not kept: events that must not run twice are deferred", "error", err)
 	}
@@ -96,6 +103,8 @@
 			}
 		}
 	}
+	gone := func(h held) bool { return h.gone }
+	f.keep.out, f.keep.held = slices.DeleteFunc(f.keep.out, gone), slices.DeleteFunc(f.keep.held, gone)
 	if next > 0 {
 		f.keep.timed = true
 		f.host.After(next+f.set.KeepWithin-now, f.impatient)
--- a/frontend/list_test.go
+++ b/frontend/list_test.go
@@ -12,18 +12,36 @@
 
 // desk is a host whose clocks the test sets.
 type desk struct {
-	now  float64
-	skew float64
+	now    float64
+	skew   float64
+	later  []func()
+	due    []float64
+	dialed int
+}
+
+// fire calls what was to be called by now.
+func (d *desk) fire() {
+	later, due := d.later, d.due
+	d.later, d.due = nil, nil
+	for i, f := range later {
+		if due[i] <= d.now {
+			f()
+		} else {
+			d.later, d.due = append(d.later, f), append(d.due, due[i])
+		}
+	}
 }
 
 func (d *desk) Now() float64 { return d.now }
 func (d *desk) Wall() time.Time {
 	return time.Unix(1_800_000_000, 0).Add(time.Duration((d.now + d.skew) * float64(time.Second)))
 }
-func (d *desk) Wake(float64)              {}
-func (d *desk) After(float64, func())     {}
+func (d *desk) Wake(float64) {}
+func (d *desk) After(s float64, f func()) {
+	d.later, d.due = append(d.later, f), append(d.due, d.now+s)
+}
 func (d *desk) Post(func())               {}
-func (d *desk) Dial(workers.Conn, string) {}
+func (d *desk) Dial(workers.Conn, string) { d.dialed++ }
 func (d *desk) Tell([]byte)               {}
 
 // Times of day in the list never make a worker seem older or newer than it can be, however the clock here is set.
--- a/handlers/trust/ring.go
+++ b/handlers/trust/ring.go
@@ -6,6 +6,7 @@
 package trust
 
 import (
+	"bytes"
 	"context"
 	"crypto"
 	"crypto/ed25519"
@@ -55,7 +56,9 @@
 // ReadRing reads a ring from JSON and reports every fault with its place.
 func ReadRing(data []byte) (*Ring, error) {
 	r := &Ring{Need: 1}
-	if err := json.Unmarshal(data, r); err != nil {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields() // a misspelt "revoked" must not go unseen
+	if err := dec.Decode(r); err != nil {
 		return nil, fmt.Errorf("keys: %w", err)
 	}
 	var faults []error
--- a/handlers/trust/ring_test.go
+++ b/handlers/trust/ring_test.go
@@ -83,7 +83,7 @@
 			t.Errorf("%s: %v, want %s", name, err, c.want)
 		}
 	}
-	late := ring(t, 1, until, gone2(freshKey))
+	late := ring(t, 1, until, revoked(freshKey))
 	for ids, want := range map[string]bool{"": true, "old": true, "fresh": false, "fresh old": true, "lost": false} {
 		if late.Stands(strings.Fields(ids)) != want {
 			t.Errorf("published with %q: stands is not %v", ids, want)
@@ -118,7 +118,7 @@
 	return bytes.Equal(x, y)
 }
 
-func gone2(k Key) Key {
+func revoked(k Key) Key {
 	k.Revoked = true
 	return k
 }
@@ -133,6 +133,9 @@
 			t.Errorf("%v does not name %s", err, want)
 		}
 	}
+	if _, err := ReadRing([]byte(`{"need":1,"keys":[{"id":"a","revokd":true}]}`)); err == nil || !strings.Contains(err.Error(), "revokd") {
+		t.Error("a misspelt field went unseen: ", err)
+	}
 	if _, err := ReadRing([]byte(`{"need":2,"keys":[]}`)); err == nil || !strings.Contains(err.Error(), "/need") {
 		t.Error(err)
 	}
--- a/sim/box.go
+++ b/sim/box.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 
@@ -91,7 +90,7 @@
 	b.proc.life++
 	b.up, b.power, b.still, b.syncing, b.hold = true, true, false, false, true
 	b.boots++
-	b.own, b.plan = map[gateway.Identity]uint64{}, nil
+	b.plan = nil
 	b.in(bootTime, "opens the state", b.open)
 }
 
@@ -104,8 +103,7 @@
 // open opens the state, as the real box does first of all.
 func (b *box) open() {
 	if !b.s.script.Stateless {
-		store, found, err := durable.OpenStore("state", durable.Options{FS: b.disk.view(), Remember: answersKept, Inline: true,
-			Clock: func() durable.Stamp { return durable.Stamp{Boot: b.name + strconv.Itoa(b.reboots()), Up: b.w.now} }})
+		store, found, err := durable.OpenStore("state", durable.Options{FS: b.disk.view(), Remember: answersKept, Inline: true, Clock: b.stamp})
 		if err != nil {
 			if !b.disk.full {
 				b.s.fault("state", "%s can't open its state: %v", b.name, err)
@@ -115,16 +113,20 @@
 		}
 		b.store, b.found = store, found
 		b.s.recovered(b, found)
+		b.s.resumed(b, found)
 		b.library(found.Trail)
 	} else {
 		b.found = &durable.Found{Fresh: true, Fired: map[string]time.Time{}}
 		b.library(nil)
 	}
+	b.own = map[gateway.Identity]uint64{}
 	b.move(appliance.Opened, "")
 }
 
-// reboots counts starts of the machine: only a loss of power is one.
-func (b *box) reboots() int { return b.s.reboots[b.no] }
+// stamp is the machine's clock for the store: only a loss of power is a new start of the machine.
+func (b *box) stamp() durable.Stamp {
+	return durable.Stamp{Boot: fmt.Sprintf("%s/%d", b.name, b.s.reboots[b.no]), Up: b.w.now}
+}
 
 func (b *box) act(a appliance.Act) {
 	switch a {
@@ -491,7 +493,6 @@
 	for _, call := range sorted(b.own) {
 		b.s.ownLost(call)
 	}
-	b.own = map[gateway.Identity]uint64{}
 	old := b.store
 	b.store = nil
 	b.disk.restart(power)
@@ -520,7 +521,11 @@
 		if err == nil {
 			for _, n := range notes {
 				b.fired[n.Entry] = n.Due
-				b.s.minutes[n.Entry+"/"+n.Due.UTC().Format(time.RFC3339)]++
+				minute := n.Ask.Identity.String()
+				if b.s.minutes[minute] {
+					b.s.fault("timers", "%s fires %s a second time", b.name, minute)
+				}
+				b.s.minutes[minute] = b.store != nil
 				b.take(n.Ask, n.Until, 1)
 			}
 		}
--- a/sim/check.go
+++ b/sim/check.go
@@ -1,7 +1,10 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -41,6 +44,11 @@
 	return a.Kind == b.Kind && a.MayRun == b.MayRun && (a.Kind == gateway.NoteLaunched || a.Answer.Kind == b.Answer.Kind || old)
 }
 
+// inOrder is a fixed order of events, so that two runs of a script report the same.
+func inOrder[V any](m map[gateway.Identity]V) []gateway.Identity {
+	return slices.SortedFunc(maps.Keys(m), func(a, b gateway.Identity) int { return cmp.Compare(a.String(), b.String()) })
+}
+
 // recovered compares what a restart found with what the process before it was told to be on disk: nothing that was
 // told may be missing or older.
 func (s *site) recovered(b *box, found *durable.Found) {
@@ -51,7 +59,8 @@
 	if found.SetAside != "" || found.Unread > 0 {
 		s.fault("state", "%s found its state corrupt: %s, %d unread", b.name, found.SetAside, found.Unread)
 	}
-	for id, n := range b.acked {
+	for _, id := range inOrder(b.acked) {
+		n := b.acked[id]
 		if s.w.now-b.ackedAt[id] > answersKept-5 {
 			continue
 		}
@@ -71,6 +80,25 @@
 	}
 }
 
+// resumed compares what a restart found of the box's own events with what the process before it had: a minute that it
+// fired for is known, and an event that was open goes on.
+func (s *site) resumed(b *box, found *durable.Found) {
+	for _, key := range slices.Sorted(maps.Keys(b.fired)) {
+		if at, ok := found.Fired[key]; !ok || at.Before(b.fired[key]) {
+			s.fault("timers", "%s fired %s for %v and found %v", b.name, key, b.fired[key], at)
+		}
+	}
+	goes := map[gateway.Identity]bool{}
+	for _, o := range found.Own {
+		goes[o.Ask.Identity] = true
+	}
+	for _, id := range inOrder(b.own) {
+		if !goes[id] {
+			s.fault("timers", "%s lost its own event %s", b.name, id)
+		}
+	}
+}
+
 // compare reads the state of a running box back, as a restart would, and compares it with what the front ends have in
 // memory.
 func (s *site) compare(b *box) {
@@ -79,7 +107,7 @@
 	}
 	copied := &disk{fs: b.disk.fs, tear: -1}
 	copied.restart(false)
-	store, found, err := durable.OpenStore("state", durable.Options{FS: copied.view(), Remember: answersKept, Inline: true})
+	store, found, err := durable.OpenStore("state", durable.Options{FS: copied.view(), Remember: answersKept, Inline: true, Clock: b.stamp})
 	if err != nil {
 		s.fault("state", "%s: the state can't be read back: %v", b.name, err)
 		return
@@ -89,14 +117,16 @@
 	for _, k := range found.Events {
 		got[k.Answer.Identity] = k.Note
 	}
-	times := map[gateway.Identity]int{}
+	times, noted := map[gateway.Identity]int{}, map[*front]map[gateway.Identity]gateway.Note{}
 	for _, f := range b.fronts {
-		for id := range f.f.Core().Noted() {
+		noted[f] = f.f.Core().Noted()
+		for id := range noted[f] {
 			times[id]++
 		}
 	}
 	for _, f := range b.fronts {
-		for id, n := range f.f.Core().Noted() {
+		for _, id := range inOrder(noted[f]) {
+			n := noted[f][id]
 			x, ok := got[id]
 			firm := s.rules.Effect[n.Answer.EventType] != "redeliverable" && n.MayRun
 			if times[id] == 1 && firm && (!ok || !same(n, x)) {
--- a/sim/client.go
+++ b/sim/client.go
@@ -283,21 +283,26 @@
 	if l.shut {
 		return
 	}
-	for _, x := range l.out { // they are lost by this client's own doing
+	c.quitLine(l, 0.05, true)
+	if again {
+		c.retry(t.evt, 0.05, true)
+	}
+}
+
+// quitLine closes a connection by this client's own doing; what waited on it is asked for again after a pause.
+func (c *client) quitLine(l *line, pause float64, move bool) {
+	for _, x := range l.out {
 		if !x.over {
 			x.over = true
 			x.limit.drop()
 			c.s.left(x)
-			c.retry(x.evt, 0.05, true)
+			c.retry(x.evt, pause, move)
 		}
 	}
 	if l.e != nil {
 		l.e.close()
 	}
 	c.lost(l)
-	if again {
-		c.retry(t.evt, 0.05, true)
-	}
 }
 
 // lost ends a connection.
@@ -327,18 +332,7 @@
 // stampede drops all connections; what waited on them is asked for again.
 func (c *client) stampede() {
 	for _, l := range append([]*line(nil), c.lines...) {
-		for _, t := range l.out {
-			if !t.over {
-				t.over = true
-				t.limit.drop()
-				c.s.left(t)
-				c.retry(t.evt, 0.01, false)
-			}
-		}
-		if l.e != nil {
-			l.e.close()
-		}
-		c.lost(l)
+		c.quitLine(l, 0.01, false)
 	}
 }
 
@@ -346,8 +340,7 @@
 func (c *client) hang() {
 	for _, l := range append([]*line(nil), c.lines...) {
 		if len(l.out) == 0 && l.e != nil {
-			l.e.close()
-			c.lost(l)
+			c.quitLine(l, 0, false)
 		}
 	}
 }
--- a/sim/explore.go
+++ b/sim/explore.go
@@ -66,7 +66,6 @@
 	drained [2]bool
 	ran     map[string]float64 // events that may have run here, since when
 	history []byte
-	notes   int
 }
 
 type smallWorld struct {
@@ -198,7 +197,7 @@
 }
 
 func (f *smallFront) Tell([]byte)                          {}
-func (f *smallFront) Keep(gateway.Note)                    { f.notes++ }
+func (f *smallFront) Keep(gateway.Note)                    {}
 func (f *smallFront) Ended(gateway.Answer, *gateway.Trace) {}
 
 // moves are all that may happen now.
--- a/sim/mutants/main.go
+++ b/sim/mutants/main.go
@@ -189,8 +189,12 @@
 			return n, by, nil
 		}
 	}
-	if err := cmd.Wait(); err != nil && strings.Contains(said.String(), "panic") {
+	switch err := cmd.Wait(); {
+	case err == nil:
+		return 0, "", nil
+	case strings.Contains(said.String(), "panic"):
 		return n + 1, "panic", nil
+	default:
+		return 0, "", fmt.Errorf("seeds of %s: %w: %s", profile, err, said.String())
 	}
-	return 0, "", nil
 }
--- a/sim/net.go
+++ b/sim/net.go
@@ -42,7 +42,6 @@
 	ends   [2]*end
 	dead   bool // nothing of it travels any more, and nobody is told: its packets are lost for good
 	harmed bool // a fault strikes it
-	since  float64
 }
 
 // end is one side of a connection. Its process is told through data and closed.
@@ -110,7 +109,7 @@
 			return
 		}
 		n.no++
-		c := &conn{n: n, name: fmt.Sprintf("%s>%s#%d", p.name, addr, n.no), since: n.w.now}
+		c := &conn{n: n, name: fmt.Sprintf("%s>%s#%d", p.name, addr, n.no)}
 		for i, at := range []*proc{p, d.p} {
 			c.ends[i] = &end{c: c, side: i, p: at, life: at.life, open: true, breakAt: -1}
 		}
--- a/sim/run.go
+++ b/sim/run.go
@@ -59,12 +59,11 @@
 	list       []byte
 	remembered map[string]float64 // keyed events that the workers know
 	reboots    map[int]int
-	minutes    map[string]int // firings of the boxes' own timers
+	minutes    map[string]bool // that boxes fired their timers for, and were told to be on disk
 	troubles   []trouble
 	open       map[int]*trouble // by box: since it went down
 	tries      []*attempt
 	byTry      map[*try]*attempt
-	byCall     map[uint64]*attempt
 	lost       []referee.Record
 	touched    []*front
 	broke      []string
@@ -81,11 +80,10 @@
 
 // attempt is one ask as its client saw it.
 type attempt struct {
-	event, kind string
-	front       string
-	boot        int
-	call, ret   float64 // ret below 0: never
-	outcome     string  // "" where the client does not know
+	event, front string
+	boot         int
+	call, ret    float64 // ret below 0: never
+	outcome      string  // "" where the client does not know
 }
 
 // fault notes that something broke.
@@ -127,7 +125,7 @@
 func newSite(script *Script) (*site, error) {
 	w := newWorld()
 	s := &site{w: w, script: script, net: newNetwork(w, chance(script.Seed, "network")), kinds: map[string]string{}, remembered: map[string]float64{},
-		reboots: map[int]int{}, minutes: map[string]int{}, open: map[int]*trouble{}, byTry: map[*try]*attempt{}, byCall: map[uint64]*attempt{},
+		reboots: map[int]int{}, minutes: map[string]bool{}, open: map[int]*trouble{}, byTry: map[*try]*attempt{},
 		calls: map[string]uint64{}, seen: map[string]int{}, met: map[string]int{}, store: &store{w: w, pace: 4, slow: 1}}
 	s.tape = referee.NewTapeOn(func() float64 { return w.now })
 	s.functions = standin.Catalogue(script.Functions, script.Work, script.Seed)
@@ -299,8 +297,8 @@
 }
 
 func (s *site) asked(t *try) {
-	a := &attempt{event: t.evt.id, kind: t.evt.kind, front: t.front.name, boot: t.front.b.boots, call: s.w.now, ret: -1}
-	s.byTry[t], s.byCall[t.call] = a, a
+	a := &attempt{event: t.evt.id, front: t.front.name, boot: t.front.b.boots, call: s.w.now, ret: -1}
+	s.byTry[t] = a
 	s.tries = append(s.tries, a)
 }
 
--- a/sim/script.go
+++ b/sim/script.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -227,15 +228,7 @@
 			s.Faults = append(s.Faults, in[rng.IntN(len(in))].draw(s, rng))
 		}
 	}
-	slices.SortStableFunc(s.Faults, func(a, b Fault) int {
-		switch {
-		case a.At < b.At:
-			return -1
-		case a.At > b.At:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return s, nil
 }
 
--- a/sim/sweep.go
+++ b/sim/sweep.go
@@ -31,47 +31,53 @@
 		r   *Report
 		err error
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make([]chan result, n)
-	for i := range results {
-		results[i] = make(chan result, 1)
+	type job struct {
+		seed uint64
+		out  chan result
 	}
-	var next uint64
-	var mu sync.Mutex
 	var running sync.WaitGroup
 	defer running.Wait()
-	for range min(uint64(atOnce), n) {
-		running.Go(func() {
-			for ctx.Err() == nil {
-				mu.Lock()
-				i := next
-				next++
-				mu.Unlock()
-				if i >= n {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	jobs, order := make(chan job), make(chan job, 4*atOnce) // seeds may run ahead of the slowest by that many
+	running.Go(func() {
+		defer close(jobs)
+		defer close(order)
+		for i := range n {
+			x := job{from + i, make(chan result, 1)}
+			for _, c := range []chan job{order, jobs} {
+				select {
+				case c <- x:
+				case <-ctx.Done():
 					return
 				}
-				s, err := Generate(profile, from+i)
+			}
+		}
+	})
+	for range atOnce {
+		running.Go(func() {
+			for x := range jobs {
+				s, err := Generate(profile, x.seed)
 				var r *Report
 				if err == nil {
 					r, _, err = Play(s, nil)
 				}
-				results[i] <- result{r, err}
+				x.out <- result{r, err}
 			}
 		})
 	}
-	for i := range results {
+	for x := range order {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case x := <-results[i]:
-			if x.err != nil {
-				return fmt.Errorf("seed %d: %w", from+uint64(i), x.err)
+		case y := <-x.out:
+			if y.err != nil {
+				return fmt.Errorf("seed %d: %w", x.seed, y.err)
 			}
-			tell(x.r)
+			tell(y.r)
 		}
 	}
-	return nil
+	return ctx.Err()
 }
 
 // Summary is what many seeds came to.
--- a/sim/versions.go
+++ b/sim/versions.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 
 	"github.com/opencontainers/go-digest"
@@ -27,7 +26,11 @@
 	}
 	for i, data := range trail {
 		var e handlers.Entry
-		if err := errors.Join(json.Unmarshal(data, &e), b.reg.Apply(e)); err != nil && e.Who != "" {
+		err := json.Unmarshal(data, &e)
+		if err == nil {
+			err = b.reg.Apply(e)
+		}
+		if err != nil {
 			b.s.fault("trail", "%s: entry %d: %v", b.name, i, err)
 		}
 	}
@@ -36,12 +39,8 @@
 	}
 	for _, f := range b.s.functions {
 		for no := range versionsOf {
-			if v := versionOf(f.Name, no); b.reg.Knows(f.Name) {
-				if _, err := b.reg.Find(f.Name + ":" + v.Name); err == nil {
-					continue
-				}
-				b.change(handlers.Entry{Publish: v})
-			} else {
+			v := versionOf(f.Name, no)
+			if _, err := b.reg.Find(f.Name + ":" + v.Name); err != nil {
 				b.change(handlers.Entry{Publish: v})
 			}
 		}
--- a/sim/worker.go
+++ b/sim/worker.go
@@ -33,7 +33,6 @@
 	started float64 // Unix seconds as the list tells them; 0: none
 	listed  bool
 	phase   string
-	Began   int
 	bornAt  float64 // of the newest cold start
 }
 
@@ -345,7 +344,6 @@
 	}
 	c.loading++
 	k.loads++
-	k.Began++
 	fetch, ok := 0.0, true
 	if !c.image {
 		fetch, ok = k.s.store.fetch(c.fn.Fetch)
@@ -440,7 +438,6 @@
 	slow    float64
 	until   float64 // while it is slow
 	stopped float64 // until then it turns fetches away
-	Fetches int
 }
 
 func (s *store) fetch(base float64) (seconds float64, ok bool) {
@@ -448,7 +445,6 @@
 	if s.w.now < s.stopped {
 		return 0.01, false
 	}
-	s.Fetches++
 	seconds = base * max(float64(s.out)/float64(s.pace), 1)
 	if s.w.now < s.until {
 		seconds *= s.slow
