streamcleat node: one front end of the platform, on the same core and event loop

Until now a front end spoke HTTP to its clients and Open Inference Protocol to its workers, wired into frontend/front.go (Client.session, Front.pool), and the settings object was read inside wire/ alone.

Change: frontend takes a client's Session and the connections to workers (Backends) through two interfaces, HTTP stays the default; platform/ has the document and the numbered worker list, platform/clients and platform/backends the frames of both sides, deployment/ the one decoder of the settings object. netloop follows a line service and can send datagrams from its own peer address. gateway can refuse a duplicate of an open event, give up launches that nobody waits for, and leave out traces. The module is untouched.

--- a/cmd/streamcleat/main.go
+++ b/cmd/streamcleat/main.go
@@ -32,7 +32,7 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	root.AddCommand(serveCommand(), checkCommand(), schemaCommand(), standinCommand(), drillCommand(), simCommand(), refereeCommand(),
-		benchCommand())
+		benchCommand(), nodeCommand())
 	root.AddCommand(operateCommands()...)
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "streamcleat:", err)
--- /dev/null
+++ b/cmd/streamcleat/node.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"streamcleat/control"
+	"streamcleat/frontend"
+	"streamcleat/gateway"
+	"streamcleat/netloop"
+	"streamcleat/platform"
+	"streamcleat/platform/backends"
+	"streamcleat/platform/clients"
+	"streamcleat/telemetry"
+	"streamcleat/workers"
+)
+
+func nodeCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "node",
+		Short: "Run one front end of the platform, as the document that RELAY_CONFIG names tells",
+		Long: "Runs one front end in the foreground. SIGHUP reads the document again and goes over to its journal service;\n" +
+			"SIGTERM takes events for as long as they may still come, answers all that is open and ends with status 0.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, args []string) error { return node(cmd.Context()) },
+	}
+}
+
+func readMachine() (*platform.Machine, error) {
+	path := os.Getenv("RELAY_CONFIG")
+	if path == "" {
+		return nil, exit{2, errors.New("RELAY_CONFIG is not set: it names the platform's configuration document")}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, exit{2, err}
+	}
+	m, err := platform.ReadMachine(data)
+	if err != nil {
+		return nil, exit{2, fmt.Errorf("%s:\n%w", path, err)}
+	}
+	return m, nil
+}
+
+// journalSilent is how long the journal service may say nothing: it tells its last number each second.
+const journalSilent = 1800 * time.Millisecond
+
+func node(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	m, err := readMachine()
+	if err != nil {
+		return err
+	}
+	// One core: a second thread only takes over while the event loop waits in the kernel.
+	runtime.GOMAXPROCS(2)
+	debug.SetMemoryLimit(int64(m.MemoryMB * 0.6 * (1 << 20)))
+	log := slog.New(telemetry.Bounded(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}), 20))
+	dep := m.Terms.Deployment()
+	var ready atomic.Bool
+	limits := clientLimits(m, dep, ready.Load)
+	set := netloop.Settings{Listen: m.Listen, PeerListen: m.PeerListen, Peers: m.Peers, PeersAll: m.PeersAll}
+	if m.PeerListen != "" && m.Terms.Me < len(m.Peers) {
+		set.Self = m.Peers[m.Terms.Me]
+	}
+	spare := 24 // descriptors for the listener, the loop, the journal service, datagrams, and dials that hold two
+	toWorkers := (m.Sockets - spare) / 3
+	set.Settings = frontend.Settings{Name: m.Name, MostConns: m.Sockets - spare - toWorkers, Evict: true, Log: log,
+		Core: gateway.Settings{Deployment: dep, Margin: 0.015, OrderLimit: m.Terms.Domain.OrderTimeoutMs / 1000,
+			// A quarter of the memory for bodies of events that are open.
+			MostOpen: min(m.Terms.Caps.MaxOpen, int(m.MemoryMB*(1<<20)/4/(clients.BodyMost+4096))),
+			Seed:     m.Seed, GiveUp: true, Untraced: true},
+		NewSession: func(t frontend.Taker, now float64) frontend.Session { return clients.NewSession(limits, t, now) },
+		NewPool: func(w frontend.Wire, s workers.Sink) frontend.Backends {
+			return backends.NewPool(backends.Limits{Dial: m.Terms.Caps.DialTimeoutMs / 1000,
+				Idle: m.Terms.Caps.IdleCloseMs / 1000 * 0.6, Most: toWorkers, Each: max(toWorkers/20, 2),
+				Streams: max(m.Terms.Caps.MaxStreams, 1)}, w, s)
+		},
+	}
+	set.Front.Unread = 1 << 20
+	set.Pool.Dial = m.Terms.Caps.DialTimeoutMs / 1000
+	s, err := netloop.Start(set)
+	if err != nil {
+		return err
+	}
+	offset := netloop.Now() - float64(time.Now().UnixNano())/1e9
+	journal := m.Known
+	tell := func() {
+		list := journal.Listed(offset)
+		s.On(func(f *frontend.Front) {
+			f.TakeList(list)
+			ready.Store(true)
+		})
+	}
+	tell()
+	feed := netloop.Follow(m.Journal, journalSilent, journal.Hello, func(line []byte) error {
+		changed, err := journal.Line(line)
+		if changed {
+			tell()
+		}
+		return err
+	}, log)
+	defer feed.Close()
+	for {
+		select {
+		case <-hup:
+			next, err := readMachine()
+			if err != nil {
+				log.Error("the document is faulty; the last one stays in force", "error", err)
+				continue
+			}
+			feed.Move(next.Journal)
+		case <-ctx.Done():
+			return leave(s)
+		}
+	}
+}
+
+// leave answers what still comes and what is open, and then ends the front end.
+func leave(s *netloop.Server) error {
+	told := time.Now()
+	for {
+		quiet := false
+		if err := s.Do(func(c *gateway.Core) { quiet = c.Quiet() }); err != nil {
+			return err
+		}
+		switch platform.After(time.Since(told).Seconds(), quiet) {
+		case platform.LastCalls:
+			s.On((*frontend.Front).NoMore)
+		case platform.Over:
+			return s.Stop(0)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// clientLimits are what requests may name: what the deployment does, and figures that some machine could bear.
+func clientLimits(m *platform.Machine, dep *control.Deployment, ready func() bool) *clients.Limits {
+	age := map[string]float64{}
+	for _, t := range dep.EventTypes {
+		age[t.Name] = t.MaxAge
+	}
+	tenants := map[string]bool{}
+	for _, t := range dep.Tenants {
+		tenants[string(t.Name)] = true
+	}
+	return &clients.Limits{Open: 32, First: 2.5, Arrival: 2, Idle: 5,
+		MaxAge:   func(eventType string) float64 { return age[eventType] },
+		Tenant:   func(name string) bool { return len(tenants) == 0 || tenants[name] },
+		Ready:    ready,
+		MemoryMB: 1 << 16, Lanes: 256, Load: 600, Work: 600}
+}
--- /dev/null
+++ b/deployment/deployment.go
@@ -0,0 +1,97 @@
+// Package deployment reads the object in which a deployment states its terms, as the bench and the platform both hand
+// it out, and maps it to what the decisions read. It has no socket and no clock, and decides nothing.
+package deployment
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"streamcleat/control"
+)
+
+// Terms names what is read of the object; all else in it is skipped. Times are as it has them: milliseconds.
+type Terms struct {
+	Accounts []struct {
+		Name      string
+		QuotaPerS float64
+	}
+	Balancers int
+	Me        int
+	Caps      struct {
+		Cancel, Peers, RetryAfter                   bool
+		MaxRetryAfterMs, DialTimeoutMs, IdleCloseMs float64
+		MostTries, MaxStreams, MaxOpen              int
+	}
+	Classes []struct {
+		Name, Idempotency, Group      string
+		AimMs, GiveUpMs, MemorySpanMs float64
+	}
+	Discovery string
+	Domain    struct {
+		LoadFree, LoadPart, LoadWindowMs, StaysLoadedMs, OrderTimeoutMs float64
+		MayOrder                                                        bool
+		WhenAbsent                                                      string
+	}
+	RoundMs float64
+	Rules   struct {
+		ColdFrom, FallMs, FallMultiple, WarmWithinMs, DrainGraceMs float64
+	}
+}
+
+var repeats = map[string]control.Repeat{
+	"free": control.Redeliverable, "guarded": control.Keyed, "single_shot": control.AtMostOnce,
+}
+
+var reaches = map[string]control.Reach{
+	"": control.ReachAll, "all": control.ReachAll, "zone": control.ReachZone, "cell": control.ReachCell,
+}
+
+// Read reads the object; an error names the field that is at fault.
+func Read(data []byte) (*Terms, error) {
+	var t Terms
+	if err := json.Unmarshal(data, &t); err != nil {
+		return nil, err
+	}
+	for _, c := range t.Classes {
+		_, known := repeats[c.Idempotency]
+		_, named := reaches[c.Group]
+		if !known || !named {
+			return nil, fmt.Errorf("event type %s: unknown idempotency or group", c.Name)
+		}
+	}
+	return &t, nil
+}
+
+// Deployment is what the decisions read of the terms.
+func (t *Terms) Deployment() *control.Deployment {
+	d := &control.Deployment{
+		FrontEnds:   max(t.Balancers, 1),
+		Asked:       t.Discovery == "subscribe",
+		MissAnswers: t.Domain.WhenAbsent == "miss",
+		MayOrder:    t.Domain.MayOrder,
+		MayTell:     t.Caps.Peers,
+		MaxLaunches: max(t.Caps.MostTries, 1),
+		KeepWarm:    t.Domain.StaysLoadedMs / 1000,
+		LoadWindow:  t.Domain.LoadWindowMs / 1000,
+		LoadFree:    t.Domain.LoadFree,
+		LoadShare:   t.Domain.LoadPart,
+		RoundGap:    t.RoundMs / 1000,
+		ColdShare:   t.Rules.ColdFrom,
+		WarmWithin:  t.Rules.WarmWithinMs / 1000,
+		FallFactor:  t.Rules.FallMultiple,
+		FallWindow:  t.Rules.FallMs / 1000,
+	}
+	if t.Caps.RetryAfter {
+		d.MaxPause = t.Caps.MaxRetryAfterMs / 1000
+	}
+	for _, a := range t.Accounts {
+		d.Tenants = append(d.Tenants, control.Tenant{Name: control.TenantID(a.Name), Quota: a.QuotaPerS})
+	}
+	for _, c := range t.Classes {
+		d.EventTypes = append(d.EventTypes, control.EventType{
+			Name: c.Name, TargetTime: c.AimMs / 1000, MaxAge: c.GiveUpMs / 1000, Repeat: repeats[c.Idempotency],
+			Reach: reaches[c.Group], Remembered: c.MemorySpanMs / 1000,
+		})
+	}
+	return d
+}
--- a/front/http/session.go
+++ b/front/http/session.go
@@ -219,6 +219,11 @@
 	return out
 }
 
+// Free tells that no request is open or half read, and since when.
+func (s *Session) Free() (since float64, free bool) {
+	return s.quiet, s.in.Idle() && len(s.slots) == 0
+}
+
 // Done tells that the connection is to be closed once all output is sent.
 func (s *Session) Done() bool { return s.closed && len(s.slots) == 0 }
 
--- a/frontend/front.go
+++ b/frontend/front.go
@@ -26,7 +26,10 @@
 	Core       gateway.Settings
 	Pool       workers.Limits
 	Front      fronthttp.Limits
-	MostConns  int // client connections; past it new ones are closed
+	MostConns  int                                   // client connections; past it new ones are closed
+	Evict      bool                                  // the client connection idle longest goes instead
+	NewSession func(t Taker, now float64) Session    // a client's connection; nil: the HTTP front
+	NewPool    func(w Wire, s workers.Sink) Backends // connections to workers; nil: Open Inference Protocol
 	Log        *slog.Logger
 	Keeper     Keeper                               // keeps what must outlive the process; nil: nothing does
 	KeepWithin float64                              // an answer waits no longer than this for its note
@@ -42,6 +45,46 @@
 	Commit(notes []gateway.Note, done func(error))
 }
 
+// Taker takes events on behalf of a session.
+type Taker = fronthttp.Taker
+
+// Session is what one client connection says and is told, in whatever protocol. It has no socket and no clock.
+type Session interface {
+	Feed(now float64, wall time.Time, data []byte)
+	Answer(now float64, slot uint64, a gateway.Answer) // the final answer to what Taker.Take took
+	Advance(now float64)                               // after answers came
+	Output() []byte                                    // what is to be sent
+	Done() bool                                        // the connection is to be closed once all output is sent
+	Tick(now float64) bool                             // tells whether there is output, or an end, since
+	Drain()                                            // no more events; those that wait are answered
+	Gone()                                             // the client left
+	Free() (since float64, free bool)                  // nothing is open or half read, and since when
+}
+
+// Wire carries the bytes of Backends.
+type Wire interface {
+	workers.Wire
+	Unsent(c workers.Conn) int // bytes that were written and have not left
+}
+
+// Backends are the connections to workers, in whatever protocol. It has no socket and no clock.
+type Backends interface {
+	List(list *workers.Listed)
+	Launch(now float64, l gateway.Launch)
+	Load(now float64, o gateway.Order)
+	Withdraw(job uint64) bool
+	Abandon(now float64, job uint64)
+	Dialed(now float64, c workers.Conn, err error)
+	Data(now float64, c workers.Conn, data []byte)
+	Closed(now float64, c workers.Conn)
+	Tick(now float64)
+	Pending() bool
+	Flush()
+	CloseAll(now float64)
+	Conns() int
+	Check() error
+}
+
 // Host is what a front end stands on.
 type Host interface {
 	Now() float64    // seconds that never go back
@@ -66,10 +109,11 @@
 type Client struct {
 	c       Conn
 	at      int // in the list of clients
-	session *fronthttp.Session
+	session Session
 	slots   map[uint64]gateway.Asker
 	dirty   bool
 	shut    float64 // when our side was closed; 0 before
+	late    int     // bytes that came since
 	gone    bool
 }
 
@@ -91,7 +135,7 @@
 	host     Host
 	log      *slog.Logger
 	core     *gateway.Core
-	pool     *workers.Pool
+	pool     Backends
 	listed   *workers.Listed              // as the file has it
 	offset   float64                      // from Unix seconds to the host's clock, when it was read
 	stated   map[control.WorkerID]float64 // when workers started, in Unix seconds as the file has it
@@ -116,7 +160,10 @@
 	header   [8]byte // of datagrams
 }
 
-const lingerFor = 1.0 // seconds for which a client may still read after the last answer
+const (
+	lingerFor = 1.0     // seconds for which a client may still read after the last answer
+	lateMost  = 1 << 20 // bytes that it may send meanwhile
+)
 
 // SweepEvery is the pause, in seconds, at which Sweep wants to be called.
 const SweepEvery = 0.1
@@ -131,7 +178,13 @@
 	copy(f.header[:], "SCL1")
 	sum := crc32.ChecksumIEEE([]byte(set.Cluster))
 	f.header[4], f.header[5], f.header[6], f.header[7] = byte(sum), byte(sum>>8), byte(sum>>16), byte(sum>>24)
-	f.pool = workers.NewPool(set.Pool, (*wire)(f), (*sink)(f))
+	if f.set.NewPool == nil {
+		f.set.NewPool = func(w Wire, s workers.Sink) Backends { return workers.NewPool(set.Pool, w, s) }
+	}
+	if f.set.NewSession == nil {
+		f.set.NewSession = func(t Taker, now float64) Session { return fronthttp.NewSession(set.Front, set.Name, t, now) }
+	}
+	f.pool = f.set.NewPool((*wire)(f), (*sink)(f))
 	f.core = gateway.New(set.Core, (*outside)(f), f.born)
 	f.lost = f.core.Restore(f.born, set.Kept)
 	f.set.Kept = nil
@@ -248,21 +301,41 @@
 
 // Accept takes a client's connection, or nil where there is no room for it and it is to be closed.
 func (f *Front) Accept(c Conn) *Client {
-	if f.draining || len(f.clients) >= f.set.MostConns {
+	if f.draining || len(f.clients) >= f.set.MostConns && !f.evict() {
 		return nil
 	}
 	cl := &Client{c: c, at: len(f.clients), slots: map[uint64]gateway.Asker{}}
-	cl.session = fronthttp.NewSession(f.set.Front, f.set.Name, &taker{f, cl}, f.host.Now())
+	cl.session = f.set.NewSession(&taker{f, cl}, f.host.Now())
 	f.clients = append(f.clients, cl)
 	return cl
 }
 
+// evict closes the client connection that has been idle longest. One with an event open, or on which a part of one
+// came, is never closed.
+func (f *Front) evict() bool {
+	var oldest *Client
+	at := 0.0
+	for _, cl := range f.clients {
+		if since, free := cl.session.Free(); f.set.Evict && free && (oldest == nil || since < at) {
+			oldest, at = cl, since
+		}
+	}
+	if oldest != nil {
+		f.closeClient(oldest)
+	}
+	return oldest != nil
+}
+
 // FromClient takes bytes from a client.
 func (f *Front) FromClient(cl *Client, data []byte) {
 	if cl.gone {
 		return
 	}
-	if cl.shut == 0 {
+	if cl.shut > 0 { // what comes behind the end is dropped, within bounds
+		if cl.late += len(data); cl.late > lateMost {
+			f.closeClient(cl)
+		}
+	} else {
 		cl.session.Feed(f.host.Now(), f.host.Wall(), data)
 		f.mark(cl)
 	}
@@ -348,6 +421,15 @@
 	f.Settle()
 }
 
+// NoMore tells clients to send no more events here; those that come all the same are taken.
+func (f *Front) NoMore() {
+	for _, cl := range f.clients {
+		cl.session.Drain()
+		f.mark(cl)
+	}
+	f.Settle()
+}
+
 // CloseDoors takes no more connections and events; what is open goes on.
 func (f *Front) CloseDoors() {
 	f.draining = true
@@ -531,6 +613,13 @@
 
 func (w *wire) Close(c workers.Conn) { w.ops = append(w.ops, op{conn: c, close: true}) }
 
+func (w *wire) Unsent(c workers.Conn) int {
+	if b := w.backends[c]; b != nil {
+		return b.Unsent()
+	}
+	return 0
+}
+
 func (w *wire) Dial(no workers.Conn, addr string) { w.host.Dial(no, addr) }
 
 // Drained are the workers that an order drains.
--- a/frontend/list.go
+++ b/frontend/list.go
@@ -21,6 +21,12 @@
 	return nil
 }
 
+// TakeList puts a list of workers in force as it is. Their starts are on the host's clock.
+func (f *Front) TakeList(list *workers.Listed) {
+	f.listed = list
+	f.relist()
+}
+
 // steady settles when workers started. The file tells it by a time of day, and the machines' clocks differ and are set:
 // a worker started anew only where the file says another time than before, whatever the clock here does; then it did so
 // after the last reading that said the old one, however long ago that time seems to be. Nothing started in the future.
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -28,6 +28,8 @@
 	Remember     float64                                   // seconds for which final answers are kept for repeats
 	RememberMost int                                       // bytes that kept answers may hold; past it the oldest lose their bodies
 	Seed         uint64
+	GiveUp       bool // a launch that nobody waits for any more is given up, not left to run for a repeat
+	Untraced     bool // the ways of events are not noted: they cost time and memory that a small machine lacks
 }
 
 // launch is one attempt that is out.
@@ -237,6 +239,10 @@
 	}
 	due := c.now + max(ask.Wait-c.set.Margin, 0)
 	if e := c.open[ask.Identity]; e != nil {
+		if ask.Alone {
+			c.refuse(to, ask, Deferred, Duplicate)
+			return
+		}
 		c.join(e, asker{to, due})
 		return
 	}
@@ -267,7 +273,9 @@
 // bind settles what an event runs on. A repeat keeps the version of its earlier try, unless that must not run any
 // more.
 func (c *Core) bind(e *event) error {
-	e.fn = c.set.Functions(e.ask.Function)
+	if e.fn = e.ask.Stated; e.fn.Lanes == 0 && c.set.Functions != nil {
+		e.fn = c.set.Functions(e.ask.Function)
+	}
 	if c.set.Bind == nil {
 		return nil
 	}
@@ -343,10 +351,12 @@
 		}
 	}
 	c.count.Taken++
-	c.step(e, "taken", "", c.belief(e.function()))
+	if !c.set.Untraced {
+		c.step(e, "taken", "", c.belief(e.function()))
+	}
 	c.router.Event(c.now, control.Event{ID: e.id, Type: e.ask.Type, Tenant: control.TenantID(e.ask.Tenant),
 		Function: control.FunctionID(e.function()), Left: max(e.due-c.now, 0), Lanes: e.fn.Lanes,
-		Memory: e.fn.Memory, Load: e.fn.Load, Repeated: e.ask.Repeated})
+		Memory: e.fn.Memory, Load: e.fn.Load, Work: e.ask.Work, Repeated: e.ask.Repeated})
 }
 
 func (c *Core) join(e *event, a asker) {
@@ -409,6 +419,9 @@
 		c.close(e, c.describe(e, Deferred, TimeUp))
 	case c.out.Withdraw(e.out.job): // it waited for a connection or for its note
 		c.end(e.out, Reply{Result: control.NeverSent})
+	case c.set.GiveUp:
+		c.out.Abandon(e.out.job)
+		c.end(e.out, Reply{Result: control.Cancelled})
 	}
 }
 
@@ -573,7 +586,9 @@
 	t.Open, t.Answer = false, a
 	t.Answer.Body, t.Answer.Fields = nil, nil
 	e.askers = nil
-	c.traces.add(t)
+	if !c.set.Untraced {
+		c.traces.add(t)
+	}
 	c.out.Ended(a, t)
 }
 
@@ -597,6 +612,9 @@
 }
 
 func (c *Core) keep(e *event, a Answer) {
+	if c.set.Remember <= 0 { // no repeat comes under the same identity
+		return
+	}
 	if old := c.kept[e.ask.Identity]; old != nil {
 		old.gone = true
 		c.bare(old)
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -28,9 +28,11 @@
 		e.noted = true
 		c.out.Keep(n)
 	}
-	c.step(e, "launched", string(wk), c.belief(e.function()))
+	if !c.set.Untraced {
+		c.step(e, "launched", string(wk), c.belief(e.function()))
+	}
 	c.out.Launch(Launch{Job: l.job, Worker: wk, Function: e.ask.Function, Attempt: l.number, Limit: limit,
-		Identity: e.ask.Identity, Fields: e.ask.Fields, Body: e.ask.Body, Binding: e.bound, Firm: firm})
+		Identity: e.ask.Identity, Type: e.ask.Type, Fields: e.ask.Fields, Body: e.ask.Body, Binding: e.bound, Firm: firm})
 }
 
 func (h *host) Defer(id control.EventID, pause float64) {
--- a/gateway/trace.go
+++ b/gateway/trace.go
@@ -43,12 +43,15 @@
 }
 
 func (c *Core) step(e *event, what, wk, detail string) {
-	if len(e.steps) < stepsMost {
+	if !c.set.Untraced && len(e.steps) < stepsMost {
 		e.steps = append(e.steps, Step{At: c.now - e.began, What: what, Worker: wk, Detail: detail})
 	}
 }
 
 func (c *Core) ordered(fn, wk, what, detail string) {
+	if c.set.Untraced {
+		return
+	}
 	s := orderStep{c.now, fn, Step{What: what, Worker: wk, Detail: detail}}
 	if len(c.traces.orders) < ordersMost {
 		c.traces.orders = append(c.traces.orders, s)
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -26,7 +26,10 @@
 	Wait     float64 // seconds that the client waits from now on; 0: the event type's max age
 	Fields   []Field // for the worker: context attributes and the content type
 	Body     []byte
-	Repeated bool // the client marks it as a repeat
+	Repeated bool     // the client marks it as a repeat
+	Stated   Function // what the event itself tells of its function; without lanes the settings tell it
+	Work     float64  // seconds of work that the client expects, 0 where it gives no hint
+	Alone    bool     // no repeat: while an event of the same identity is open, it is deferred and not joined
 }
 
 // Binding is the version of a function that an event runs on, settled once when it is taken. The zero Binding means
@@ -89,10 +92,11 @@
 	NotKept            // what must outlive the process can't be written
 	NoVersion          // the function's reference names no version that may run
 	WrongDigest        // the worker answered with another version than the one it was asked for
+	Duplicate          // an event of the same identity is open, and this is none of its repeats
 )
 
 var causes = [...]string{"answered", "no-room", "time-up", "worker-failed", "worker-broke", "worker-gone",
-	"worker-full", "load-failed", "forgotten", "stopping", "unknown-type", "overflow", "restarted", "not-kept", "no-version", "wrong-digest"}
+	"worker-full", "load-failed", "forgotten", "stopping", "unknown-type", "overflow", "restarted", "not-kept", "no-version", "wrong-digest", "duplicate"}
 
 func (c Cause) String() string { return causes[c] }
 
@@ -104,6 +108,7 @@
 	Attempt  int     // 0 for the first
 	Limit    float64 // seconds after which the core abandons it
 	Identity Identity
+	Type     string // event type
 	Fields   []Field
 	Body     []byte
 	Binding  Binding
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -4,6 +4,7 @@
 package netloop
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -31,6 +32,9 @@
 	PeerListen  string // host:port for other front ends' datagrams, "" for none
 	Peers       []string
 	WorkersFile string
+	PeersAll    string // one address that reaches all other front ends; "": each of Peers is told by itself
+	Self        string // this front end's own address among Peers. Where it is set, datagrams leave from
+	// PeerListen, and are taken from Peers alone
 }
 
 const (
@@ -73,7 +77,8 @@
 	lost     []gateway.Answer
 	timer    *time.Timer
 	udp      *net.UDPConn
-	peers    []netip.AddrPort
+	peers    []netip.AddrPort        // that are told
+	known    map[netip.AddrPort]bool // that are heard, where not everybody is
 	watch    *watcher
 	stop     sync.Once
 	stopped  error
@@ -91,20 +96,42 @@
 	}
 	set.Log = set.Log.With("front_end", set.Name)
 	s := &Server{set: set, log: set.Log, ready: make(chan error, 1), finished: make(chan error, 1)}
+	if set.Self != "" {
+		s.known = map[netip.AddrPort]bool{}
+	}
 	for _, p := range set.Peers {
 		a, err := net.ResolveUDPAddr("udp", p)
 		if err != nil {
 			return nil, fmt.Errorf("peer %s: %w", p, err)
 		}
+		if p == set.Self {
+			continue
+		}
 		s.peers = append(s.peers, a.AddrPort())
+		if s.known != nil {
+			s.known[a.AddrPort()] = true
+		}
+	}
+	if set.PeersAll != "" {
+		a, err := net.ResolveUDPAddr("udp", set.PeersAll)
+		if err != nil {
+			return nil, fmt.Errorf("all peers %s: %w", set.PeersAll, err)
+		}
+		s.peers = []netip.AddrPort{a.AddrPort()}
 	}
-	if len(s.peers) > 0 {
-		if s.udp, err = net.ListenUDP("udp", nil); err != nil {
+	if len(s.peers) > 0 || s.known != nil {
+		var from *net.UDPAddr
+		if s.known != nil {
+			if from, err = net.ResolveUDPAddr("udp", set.PeerListen); err != nil {
+				return nil, fmt.Errorf("socket for peers %s: %w", set.PeerListen, err)
+			}
+		}
+		if s.udp, err = net.ListenUDP("udp", from); err != nil {
 			return nil, fmt.Errorf("socket for peers: %w", err)
 		}
 	}
 	listen := []string{"tcp://" + addr}
-	if set.PeerListen != "" {
+	if set.PeerListen != "" && s.known == nil {
 		listen = append(listen, "udp://"+set.PeerListen)
 	}
 	go func() {
@@ -127,6 +154,9 @@
 			return nil, fmt.Errorf("list of workers %s: %w", set.WorkersFile, err)
 		}
 	}
+	if s.known != nil {
+		go s.hear()
+	}
 	s.log.Info("serving", "listen", addr, "peers", len(s.peers))
 	return s, nil
 }
@@ -207,6 +237,25 @@
 	return s.do(func(x *frontend.Front) { f(x.Core()) })
 }
 
+// On runs f with the front end on the event loop, soon.
+func (s *Server) On(f func(*frontend.Front)) error { return s.post(func() { f(s.front) }) }
+
+// hear reads the datagrams of the front ends that are known.
+func (s *Server) hear() {
+	buf := make([]byte, 2048)
+	for {
+		n, from, err := s.udp.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || !s.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
+			continue
+		}
+		data := bytes.Clone(buf[:n])
+		s.post(func() { s.front.Heard(data) })
+	}
+}
+
 // Counts are the core's totals and the number of connections to clients and workers.
 func (s *Server) Counts() (n gateway.Counts, clients, backends int, err error) {
 	err = s.do(func(f *frontend.Front) {
