A load beside a copy without room is hurried while the store keeps its usual pace

Cause: the ordinary rule in control.go (eventRules[2], 'soon') kept the pause between loads even where every standing copy's worker had no room; the last rule then gave the event up at once.

Ruled out: the part let in (not many()), the cold budget (cold=1), noRoom, events held past their time (cause time-up: 14 of 2049).

--- a/cmd/streamcleat/node.go
+++ b/cmd/streamcleat/node.go
@@ -27,14 +27,21 @@
 )
 
 func nodeCommand() *cobra.Command {
-	return &cobra.Command{
+	level, rate := slog.LevelWarn, 20
+	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Run one front end of the platform, as the document that RELAY_CONFIG names tells",
 		Long: "Runs one front end in the foreground. SIGHUP reads the document again and goes over to its journal service;\n" +
 			"SIGTERM takes events for as long as they may still come, answers all that is open and ends with status 0.",
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, args []string) error { return node(cmd.Context()) },
+		RunE: func(cmd *cobra.Command, args []string) error {
+			log := slog.New(telemetry.Bounded(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}), rate))
+			return node(cmd.Context(), log)
+		},
 	}
+	cmd.Flags().TextVar(&level, "log", level, "least level that is logged: debug, info (also events that were not handled), warn, error")
+	cmd.Flags().IntVar(&rate, "log-rate", rate, "most log records a second")
+	return cmd
 }
 
 func readMachine() (*platform.Machine, error) {
@@ -56,7 +63,7 @@
 // journalSilent is how long the journal service may say nothing: it tells its last number each second.
 const journalSilent = 1800 * time.Millisecond
 
-func node(ctx context.Context) error {
+func node(ctx context.Context, log *slog.Logger) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	m, err := readMachine()
@@ -66,7 +73,6 @@
 	// One core: a second thread only takes over while the event loop waits in the kernel.
 	runtime.GOMAXPROCS(2)
 	debug.SetMemoryLimit(int64(m.MemoryMB * 0.6 * (1 << 20)))
-	log := slog.New(telemetry.Bounded(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}), 20))
 	dep := m.Terms.Deployment()
 	var ready atomic.Bool
 	limits := clientLimits(m, dep, ready.Load)
--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,8 @@
 	moreEvery   = 2.5   // pause before one more copy beside others, against a jam that sows copies everywhere
 	moreLost    = 120.0 // and more for the share of copies believed warm that were gone
 	lostPart    = 0.02  // weight of the newest in it
+	stretchPart = 0.2   // weight of the newest in how much longer loads take than is usual
+	stretchMost = 1.3   // past it the store is crowded, and no load beside others is hurried
 	limitLoads  = 3.0   // a load may take this multiple of its usual time before it counts as stuck
 	roomStart   = 12.0  // events that a worker may hold at first, in equal parts for the front ends
 	roomLeast   = 1.0   // and at the least, so that its recovery is seen
@@ -133,7 +135,7 @@
 
 	quick, open, mayTell        float64   // latency of the quickest answers; part let in; endings not yet told
 	taken, ordered              []float64 // events taken and loads ordered within the load window
-	lastTick, lost              float64
+	lastTick, lost, stretch     float64
 	look                        bool // the worker rules are due
 	state                       int  // changes with the worker list
 	meanAt, meanLoad, meanHeard float64
@@ -484,6 +486,9 @@
 	if f == nil {
 		return
 	}
+	if f.load > 0 && took > tick {
+		r.stretch += stretchPart * (took/f.load - r.stretch)
+	}
 	if copies > 0 {
 		p := f.make(wk)
 		if p.warm, p.seen = true, now; took < tick && r.many() { // it stood: the store had no work
@@ -823,14 +828,18 @@
 		wk, short := r.bestWarm(e, true)
 		standing := func(p place) bool { return r.warm(&p) && r.phase[p.wk] == Serving && r.aside[p.wk] <= r.now }
 		soon := r.now < e.fn.pause && slices.ContainsFunc(e.fn.places, standing) // with room or without
-		if (wk < 0 || short > 0) && e.fn.order < 0 && e.waits < waitsMost && !soon && r.mayOrder() {
-			if site := r.loadSite(e, short); site >= 0 {
+		any := wk
+		if wk < 0 {
+			any, _ = r.bestWarm(e, false)
+		}
+		// Against events turned away for the pause beside idle workers: a store at its usual pace bears the load.
+		hurry := any < 0 && r.stretch < stretchMost
+		if (wk < 0 || short > 0) && e.fn.order < 0 && e.waits < waitsMost && (!soon || hurry) && r.mayOrder() {
+			if site := r.loadSite(e, short); site >= 0 && (!soon || !r.busy(site)) {
 				r.order(e.fn, site)
 			}
 		}
-		if wk < 0 {
-			wk, _ = r.bestWarm(e, false)
-		}
+		wk = any
 		return r.launch(e, wk)
 	},
 	// Else the loading worker, once the order has surely reached it; else it waits for the answer.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -458,3 +458,28 @@
 		t.Fatal(w.bad)
 	}
 }
+
+// A copy whose worker has no room left is no reason to turn events away beside an idle worker, unless loads take longer
+// than is usual: then one more would crowd the store.
+func TestFullCopyDoesNotKeepThePause(t *testing.T) {
+	for _, crowded := range []bool{false, true} {
+		w := newWorld(1, plain(), 2)
+		f := w.fes[0]
+		r := f.r
+		drive(w, 1, 0.1, 2)
+		fn := r.fns["f0"]
+		fn.pause, fn.heard = r.now+9, r.now
+		for wk := range r.id {
+			if p := fn.at(wk); p != nil && p.warm {
+				r.room[wk] = 0
+			}
+		}
+		if r.stretch = 1; crowded {
+			r.stretch = 2
+		}
+		f.take("late", "f0", w.dep.EventTypes[0], 3)
+		if ordered := fn.order >= 0; ordered == crowded {
+			t.Errorf("crowded %v: ordered %v", crowded, ordered)
+		}
+	}
+}
