One heavy answer no longer makes a copy, and with it its worker, seem slow

Cause: timed() in control.go fed each latency whole into p.recent (weight 0.2): one of fifteen times the median, as an event has that waited for a lane, trebles it, and two functions so make the worker be set aside (workerRules[0]).

Change: one latency counts for 1.5 of the bound at most.

--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,7 @@
 	asideFor    = 2.0   // for so long; troubles of other kinds double it up to asideMost
 	asidePart   = 0.4   // of the serving workers at most: past it all are slow, and leaving them harms
 	slowPart    = 0.05  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
+	heavyMost   = 1.5   // of that bound a single latency counts at most, against one heavy event
 	recentPart  = 0.2   // weight of the newest latency, low against single heavy events
 	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run, its usual pace
 	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
@@ -456,13 +457,13 @@
 	if f.median == 0 {
 		f.median = took
 	}
-	if p.recent == 0 { // one heavy event does not make a copy slow
+	if p.recent == 0 {
 		p.recent = min(took, f.median)
 	}
 	if f.median *= medianStep; took < f.median {
 		f.median /= medianStep * medianStep
 	}
-	p.recent += recentPart * (took - p.recent)
+	p.recent += recentPart * (min(took, heavyMost*r.usual(f, p)) - p.recent)
 	p.timedAt = r.now
 	r.pace[p.wk] += pacePart * (took/f.median - r.pace[p.wk])
 	if p.recent <= r.usual(f, p) {
@@ -833,7 +834,7 @@
 			any, _ = r.bestWarm(e, false)
 		}
 		// Against events turned away for the pause beside idle workers: a store at its usual pace bears the load.
-		hurry := any < 0 && r.stretch < stretchMost
+		hurry := any < 0 && r.stretch > 0 && r.stretch < stretchMost // 0: no usual time is told
 		if (wk < 0 || short > 0) && e.fn.order < 0 && e.waits < waitsMost && (!soon || hurry) && r.mayOrder() {
 			if site := r.loadSite(e, short); site >= 0 && (!soon || !r.busy(site)) {
 				r.order(e.fn, site)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -483,3 +483,30 @@
 		}
 	}
 }
+
+// Where the target time is long against the work, an event that waited for a lane takes many times the median. One such,
+// or a few apart, must not make a copy slow; answers that all come late must.
+func TestHeavyEventsAreNotSlowCopies(t *testing.T) {
+	for _, every := range []int{5, 1} {
+		r := newWorld(1, plain(), 2).fes[0].r
+		f := r.function(Event{Function: "f"})
+		p := f.make(0)
+		for range 50 {
+			r.timed(f, p, 0.05)
+		}
+		slow := 0
+		for i := range 40 {
+			took := 0.05
+			if i%every == 0 {
+				took = 1
+			}
+			f.median = 0.05 // most answers come from elsewhere
+			if r.timed(f, p, took); p.slowSince > 0 {
+				slow++
+			}
+		}
+		if (slow > 25) != (every == 1) || every > 1 && slow > 0 {
+			t.Errorf("every %d heavy: slow after %d of 40", every, slow)
+		}
+	}
+}
