Events that wait behind a slow store take no room and do not wait past their time

Cause: fit() in control.go counted every launch that is out; a worker whose copies are all busy begins a further copy by itself, and where the store is slow the event behind it waits for seconds. eventRules[3] made events follow a load however long loads took.

Ruled out: a hung worker (time-outs spread over all six), missed copies (lost 0), the set-aside.

Change: while loads take over 1.3 of their usual time, launches six times over their function's median on a worker that still answers take no room; an event is refused at once where the load it would follow lasts longer than it has; a timed-out launch takes the belief in a copy that answered nothing since.

--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,7 @@
 	asidePart   = 0.4   // of the serving workers at most: past it all are slow, and leaving them harms
 	slowPart    = 0.05  // the same for slow ones: a crowd is slow too, and moves on to whoever is left
 	heavyMost   = 1.5   // of that bound a single latency counts at most, against one heavy event
+	stuckAfter  = 6.0   // own latency over the median: past it an event waits for a copy, if loads are slow
 	recentPart  = 0.2   // weight of the newest latency, low against single heavy events
 	pacePart    = 0.01  // weight of the newest in how slow a worker is in the long run, its usual pace
 	medianStep  = 1.05  // step of the running median, against outliers that a mean would follow
@@ -348,6 +349,7 @@
 		}
 	case TimedOut: // no answer is the latest of answers; unheeded, a crowded worker stays crowded
 		r.resize(e, !e.loading && end.Took > roomLate*e.kind.TargetTime, false)
+		p.warm = p.warm && p.seen > e.sentAt // against a copy that is gone and loads anew
 	case TurnedAway:
 		r.noRoom[wk] = now + noRoomFor
 		r.resize(e, true, false)
@@ -505,6 +507,15 @@
 	r.settle()
 }
 
+// loadLeft is how long the load under way is expected to take yet; past that, as long again.
+func (r *Router) loadLeft(f *function) float64 {
+	gone := r.now - f.orderedAt
+	if left := f.load*max(r.stretch, 1) - gone; left > 0 {
+		return left
+	}
+	return gone
+}
+
 func (r *Router) follow(f *function) {
 	f.order = -1
 	r.todo = append(r.todo, f.followers...)
@@ -626,13 +637,23 @@
 func (r *Router) fit(wk int) bool {
 	held := 0
 	for _, e := range r.flying[wk] {
-		if !e.loading || e.fn.order != wk { // against a slow store that closes its workers
+		// Against a slow store that closes its workers: what waits for a load there takes none of their cores.
+		stuck := r.stretch > stretchMost && r.now-r.answered[wk] < tick && r.now-e.sentAt > r.stuckFor(e, wk)
+		if (!e.loading || e.fn.order != wk) && !stuck {
 			held++
 		}
 	}
 	return r.aside[wk] <= r.now && float64(held) < r.room[wk]
 }
 
+// stuckFor is the time past which an answer is so late that its event surely waits for a copy that loads.
+func (r *Router) stuckFor(e *event, wk int) float64 {
+	if e.loading {
+		return 0
+	}
+	return stuckAfter * e.fn.median * max(r.pace[wk], 1)
+}
+
 func hash(s string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(s))
@@ -852,6 +873,9 @@
 		if r.now-e.fn.orderedAt > 4*r.dep.RoundGap && r.may(e, wk) && r.fit(wk) && wk != e.wk {
 			return r.launch(e, wk)
 		}
+		if r.now+r.loadLeft(e.fn) > e.due { // against a stalled store
+			return false
+		}
 		e.waits++
 		e.fn.followers = append(e.fn.followers, e)
 		return true
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -510,3 +510,37 @@
 		}
 	}
 }
+
+// Behind a stalled store every follower would wait until its time is up; told at once, its client can come back.
+func TestNoWaitBehindAStalledStore(t *testing.T) {
+	for _, stretch := range []float64{1, 20} {
+		w := newWorld(1, plain(), 2)
+		f := w.fes[0]
+		f.r.stretch = stretch
+		in := Event{ID: "e", Type: "free", Function: "f", Left: 3, Load: 0.5}
+		w.fes[0].evts["e"] = &taken{}
+		f.r.Event(w.now, in)
+		if waits := f.r.evts["e"] != nil; waits != (stretch == 1) || f.r.fns["f"].order < 0 {
+			t.Errorf("loads at %g of their time: waits %v, order %d", stretch, waits, f.r.fns["f"].order)
+		}
+	}
+}
+
+// A worker whose store is slow still answers what it holds; what waits there for a copy must not close it. One that
+// answers nothing, or is crowded without a slow store, stays closed.
+func TestStuckEventsTakeNoRoom(t *testing.T) {
+	for _, c := range []struct {
+		stretch, answered float64
+		fits              bool
+	}{{3, 0.1, true}, {3, 1, false}, {1, 0.1, false}} {
+		r := newWorld(1, plain(), 2).fes[0].r
+		f := r.function(Event{Function: "f"})
+		f.median, r.stretch, r.answered[0], r.room[0] = 0.1, c.stretch, r.now-c.answered, 2
+		for range 3 {
+			r.flying[0] = append(r.flying[0], &event{fn: f, wk: 0, out: true, sentAt: r.now - 0.7})
+		}
+		if r.fit(0) != c.fits {
+			t.Errorf("%+v: fits %v", c, !c.fits)
+		}
+	}
+}
