--- a/cmd/streamcleat/node.go
+++ b/cmd/streamcleat/node.go
@@ -73,6 +73,28 @@
 	// One core: a second thread only takes over while the event loop waits in the kernel.
 	runtime.GOMAXPROCS(2)
 	debug.SetMemoryLimit(int64(m.MemoryMB * 0.6 * (1 << 20)))
+	s, feed, err := startNode(m, log)
+	if err != nil {
+		return err
+	}
+	defer feed.Close()
+	for {
+		select {
+		case <-hup:
+			next, err := readMachine()
+			if err != nil {
+				log.Error("the document is faulty; the last one stays in force", "error", err)
+				continue
+			}
+			feed.Move(next.Journal)
+		case <-ctx.Done():
+			return leave(s)
+		}
+	}
+}
+
+// startNode wires one front end of the platform: its sockets, the core, and the journal service's news.
+func startNode(m *platform.Machine, log *slog.Logger) (*netloop.Server, *netloop.Follower, error) {
 	dep := m.Terms.Deployment()
 	var ready atomic.Bool
 	limits := clientLimits(m, dep, ready.Load)
@@ -98,7 +120,7 @@
 	set.Pool.Dial = m.Terms.Caps.DialTimeoutMs / 1000
 	s, err := netloop.Start(set)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	offset := netloop.Now() - float64(time.Now().UnixNano())/1e9
 	journal := m.Known
@@ -117,20 +139,7 @@
 		}
 		return err
 	}, log)
-	defer feed.Close()
-	for {
-		select {
-		case <-hup:
-			next, err := readMachine()
-			if err != nil {
-				log.Error("the document is faulty; the last one stays in force", "error", err)
-				continue
-			}
-			feed.Move(next.Journal)
-		case <-ctx.Done():
-			return leave(s)
-		}
-	}
+	return s, feed, nil
 }
 
 // leave answers what still comes and what is open, and then ends the front end.
--- a/control/control.go
+++ b/control/control.go
@@ -349,7 +349,6 @@
 		}
 	case TimedOut: // no answer is the latest of answers; unheeded, a crowded worker stays crowded
 		r.resize(e, !e.loading && end.Took > roomLate*e.kind.TargetTime, false)
-		p.warm = p.warm && p.seen > e.sentAt // against a copy that is gone and loads anew
 	case TurnedAway:
 		r.noRoom[wk] = now + noRoomFor
 		r.resize(e, true, false)
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -200,7 +200,7 @@
 // begin is called on the event loop with the first connection.
 func (s *Server) begin(loop gnet.EventLoop) {
 	s.loop = loop
-	s.timer = time.AfterFunc(time.Hour, func() { s.post(s.front.Tick) })
+	s.timer = time.AfterFunc(time.Hour, func() { s.post(func() { s.front.Tick() }) })
 	s.front = frontend.New(s.set.Settings, (*host)(s))
 	s.lost = s.front.Lost()
 	go s.sweepLoop()
