Slots of workers that are gone are used again

Change: a new worker takes the slot of one that is gone and that no open event, order or launch refers to. An answer to a load order of a worker that was let go is passed over (Held took it for the first worker).

--- a/control/control.go
+++ b/control/control.go
@@ -169,8 +169,9 @@
 	for _, w := range list {
 		i, known := r.index[w.ID]
 		if !known {
-			i = r.admit(w.ID)
-			named = append(named, true)
+			if i = r.admit(w.ID); i == len(named) {
+				named = append(named, true)
+			}
 		}
 		named[i] = true
 		if r.phase[i] = w.Phase; w.Phase == Gone {
@@ -203,18 +204,48 @@
 
 func (r *Router) ListFailed(now float64) { r.host.Wake(asideFor, 1) }
 
+// vacant is a worker that is gone and that nothing refers to, against tables that grow without end.
+func (r *Router) vacant() int {
+	used := make([]bool, len(r.id)+1)
+	for _, e := range r.evts {
+		used[max(e.wk, 0)], used[e.runWk] = true, true
+	}
+	for _, f := range r.every {
+		used[max(f.order, 0)] = true
+	}
+	for wk := range r.id {
+		if r.phase[wk] == Gone && !used[wk] {
+			return wk
+		}
+	}
+	return -1
+}
+
 func (r *Router) admit(id WorkerID) int {
-	r.index[id] = len(r.id)
-	r.id, r.hash = append(r.id, id), append(r.hash, hash(string(id)))
-	r.short[uint32(r.hash[len(r.id)-1]&0xfff)] = len(r.id) - 1
-	r.zone, r.kind, r.cell = append(r.zone, ""), append(r.kind, 0), append(r.cell, 0)
-	r.phase, r.flying = append(r.phase, Serving), append(r.flying, nil)
-	r.room, r.heard = append(r.room, r.part(roomStart)), append(r.heard, -1)
-	for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.cutAt, &r.pace, &r.aside,
-		&r.noRoom, &r.turn, &r.spent} {
-		*figures = append(*figures, 0)
+	wk := r.vacant()
+	if wk < 0 {
+		wk = len(r.id)
+		r.id, r.hash, r.zone, r.kind = append(r.id, ""), append(r.hash, 0), append(r.zone, ""), append(r.kind, 0)
+		r.cell, r.phase, r.flying = append(r.cell, 0), append(r.phase, Serving), append(r.flying, nil)
+		for _, figures := range []*[]float64{&r.size, &r.born, &r.answered, &r.room, &r.cutAt, &r.heard, &r.aside,
+			&r.pace, &r.noRoom, &r.turn, &r.spent} {
+			*figures = append(*figures, 0)
+		}
+	}
+	delete(r.index, r.id[wk])
+	if short := uint32(r.hash[wk] & 0xfff); r.short[short] == wk {
+		delete(r.short, short)
 	}
-	return r.index[id]
+	for _, f := range r.every {
+		f.places = slices.DeleteFunc(f.places, func(p place) bool { return p.wk == wk })
+	}
+	r.index[id], r.id[wk], r.hash[wk] = wk, id, hash(string(id))
+	r.short[uint32(r.hash[wk]&0xfff)] = wk
+	for _, figures := range [][]float64{r.answered, r.cutAt, r.aside, r.pace, r.noRoom, r.turn, r.spent} {
+		figures[wk] = 0
+	}
+	r.room[wk], r.heard[wk], r.phase[wk] = r.part(roomStart), -1, Serving
+	return wk
 }
 
 func (f *function) at(wk int) *place {
@@ -484,8 +515,9 @@
 
 func (r *Router) Held(now float64, id WorkerID, fn FunctionID, res Result, copies int, took float64) {
 	r.now = now
-	wk, f := r.index[id], r.fns[fn]
-	if f == nil {
+	wk, known := r.index[id]
+	f := r.fns[fn]
+	if f == nil || !known {
 		return
 	}
 	if f.load > 0 && took > tick {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -544,3 +544,22 @@
 		}
 	}
 }
+
+// Workers that came and went leave nothing behind, also where their launches end after they are gone.
+func TestReplacedWorkersAreLetGo(t *testing.T) {
+	r := newWorld(1, plain(), 3).fes[0].r
+	for i := range 300 {
+		now := r.now + 0.1
+		id := WorkerID(fmt.Sprint("new-", i))
+		r.List(now, true, false, []Worker{{ID: id, Size: 1}})
+		f := r.function(Event{Function: "f"})
+		f.make(r.index[id]).warm = true
+		r.Held(now, WorkerID(fmt.Sprint("new-", i-9)), "f", Handled, 1, 0.1)
+		if wk := r.index[id]; r.id[wk] != id || f.at(wk) == nil || r.room[wk] != roomStart || r.short[uint32(r.hash[wk]&0xfff)] != wk {
+			t.Fatalf("%s is out of place", id)
+		}
+	}
+	if n := len(r.fns["f"].places); len(r.id) > 6 || len(r.index) > 6 || len(r.short) > 6 || n > 6 || len(r.spent) != len(r.id) {
+		t.Errorf("%d workers, %d in the index, %d by hash, %d places", len(r.id), len(r.index), len(r.short), n)
+	}
+}
