--- a/control/control.go
+++ b/control/control.go
@@ -384,7 +384,7 @@
 		r.noRoom[wk] = now + noRoomFor
 		r.resize(e, true, false)
 	case Unreachable: // its process is gone, and its copies with it; the list is late
-		p.warm = false
+		p.warm, r.noRoom[wk] = false, now+noRoomFor
 	case Missed: // it lacks the function but is no worse for it
 		p.warm, e.wk = false, -1
 	}
@@ -528,8 +528,8 @@
 		if p.warm, p.seen = true, now; took < tick && r.many() { // it stood: the store had no work
 			f.pause = now
 		}
-	} else if res == TurnedAway {
-		r.noRoom[wk] = now + noRoomFor
+	} else if res == TurnedAway || res == Unreachable || res == Broken {
+		r.noRoom[wk] = now + noRoomFor // against a dead worker, first by rank, that is asked again and again
 	}
 	r.answered[wk] = now
 	if f.order == wk {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -563,3 +563,20 @@
 		t.Errorf("%d workers, %d in the index, %d by hash, %d places", len(r.id), len(r.index), len(r.short), n)
 	}
 }
+
+// A dead worker that the list still names, first by rank, must not be asked for load after load until its events have no
+// load left to follow.
+func TestLoadsLeaveADeadWorker(t *testing.T) {
+	for _, res := range []Result{Unreachable, Broken, TurnedAway} {
+		w := newWorld(1, plain(), 3)
+		r := w.fes[0].r
+		w.fes[0].evts["e"] = &taken{}
+		r.Event(w.now, Event{ID: "e", Type: "free", Function: "f", Left: 3})
+		f := r.fns["f"]
+		dead := f.order
+		r.Held(w.now+0.001, r.id[dead], "f", res, 0, 0.001)
+		if f.order < 0 || f.order == dead {
+			t.Errorf("after %d the load goes to %d, from %d", res, f.order, dead)
+		}
+	}
+}
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -514,3 +514,33 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// Where clients never repeat under the same identity, nothing is kept or traced, a second event under an open identity
+// is deferred, and a launch is given up once nobody waits for it.
+func TestWithoutRepeats(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Remember, s.RememberMost, s.GiveUp, s.Untraced, s.Functions = 0, 0, true, true, nil })
+	ask := Ask{Identity: Identity{"", "e"}, Type: "again", Function: "f", Stated: Function{Lanes: 3, Load: 0.5}, Alone: true}
+	r.c.Take(r.now, 1, ask)
+	r.c.Take(r.now, 2, ask)
+	r.want(2, Deferred, Duplicate)
+	r.to(r.now + 0.2)
+	r.load()
+	if len(r.launches) != 1 {
+		t.Fatalf("launches %+v", r.launches)
+	}
+	r.c.HungUp(r.now, 1)
+	if !r.left[r.launches[0].Job] || !r.c.Quiet() || len(r.answers[1]) > 0 {
+		t.Errorf("given up %v, quiet %v, answers %v", r.left, r.c.Quiet(), r.answers[1])
+	}
+	r.end(r.launches[0].Job, control.Handled) // its answer came all the same
+	r.c.Take(r.now, 3, ask)
+	r.end(r.launches[1].Job, control.Handled)
+	r.want(3, Handled, Answered)
+	r.to(r.now + 5)
+	if n := r.c.Counts(); n.Kept+n.Open+n.Out > 0 || len(r.c.Lately()) > 0 {
+		t.Errorf("%+v, %d traces", n, len(r.c.Lately()))
+	}
+	if v, _ := r.c.router.Function("f"); v.Lanes != 3 || v.Load != 0.5 {
+		t.Errorf("what the event told of its function is lost: %+v", v)
+	}
+}
