Eviction reads what lies unread first; few worker connections hold two descriptors at a time

Room for a new connection was made by closing the one idle longest at once, though its next request might lie unread in the same turn of the loop: the close became a reset. Each connection to a worker holds two descriptors from its dial until the event loop has taken it over, without a bound; an accept that finds none ends gnet's loop, and with it the process. Ruled out: the bound on client connections (held in the test); the watch's descriptor (kept back). Change: what the longest idle sent is read before it goes, and if that was a request another one goes; eight connections at a time are handed to the loop. The bound on hand-overs has no test that forces it.

--- a/cmd/streamcleat/crossing_test.go
+++ b/cmd/streamcleat/crossing_test.go
@@ -1,11 +1,16 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,7 +23,9 @@
 	in, out := make(chan struct{}), make(chan struct{})
 	h.front.On(func(*frontend.Front) { close(in); <-out })
 	<-in
-	return func() { close(out) }
+	release = sync.OnceFunc(func() { close(out) })
+	h.t.Cleanup(release) // also after a test that failed
+	return release
 }
 
 // A client that left must find no launch after that, though the worker's answer that asks for one is read first.
@@ -82,6 +89,107 @@
 	}
 }
 
+// A request that lies unread when room is made for another connection is served; a truly idle connection goes.
+func TestEvictionReadsWhatLiesUnread(t *testing.T) {
+	t.Parallel()
+	h := newHall(t, 64)
+	k := h.dial()
+	k.ask("")
+	k.hear()
+	var others []*caller
+	for range 23 { // 24 are held: 64 less 28 kept back, less a third of the rest for workers
+		others = append(others, h.dial())
+	}
+	for n := 0; n < 24; {
+		_, n, _, _ = h.front.Counts()
+	}
+	release := h.stall()
+	one := h.dial()
+	k.ask("crossing the eviction")
+	release()
+	if got := k.hear(); !strings.Contains(got, "crossing the eviction") {
+		t.Error(got)
+	}
+	one.ask("for which room was made")
+	if got := one.hear(); !strings.Contains(got, "for which room was made") {
+		t.Error(got)
+	}
+	if got := others[0].hear(); got != "EOF" {
+		t.Error("the longest idle ended by", got)
+	}
+}
+
+// As a process under its limit of descriptors, with the journal service down from the start: hundreds of silent clients
+// keep neither usual ones nor the watch out, nor does it end of them. Told to stop it ends in order.
+func TestProcessUnderItsDescriptorLimit(t *testing.T) {
+	t.Parallel()
+	journal, front := listen(t), listen(t)
+	h := &hall{t: t, worker: listen(t), wrote: make(chan byte, 64)}
+	go h.work()
+	journal.Close()
+	front.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(document(front.Addr().String(), journal.Addr().String(), h.worker.Addr().String(), 96)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	node := exec.Command("sh", "-c", "ulimit -n 96; exec streamcleat node")
+	node.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+	var said bytes.Buffer
+	node.Stderr = &said
+	if err := node.Start(); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- node.Wait() }()
+	t.Cleanup(func() { node.Process.Kill() })
+	for range 200 {
+		if c, err := net.Dial("tcp", front.Addr().String()); err == nil {
+			c.Close()
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	silent := func(n int) {
+		for range n {
+			if c, err := net.Dial("tcp", front.Addr().String()); err == nil {
+				t.Cleanup(func() { c.Close() })
+			}
+		}
+	}
+	silent(200)
+	k := call(t, front.Addr().String())
+	k.ask("among silent ones")
+	if got := k.hear(); !strings.Contains(got, "among silent ones") {
+		t.Error(got)
+	}
+	again, err := net.Listen("tcp", journal.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	silent(100)
+	asked := make(chan string, 1)
+	go func() {
+		if c, err := again.Accept(); err == nil {
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			asked <- line
+		}
+	}()
+	select {
+	case line := <-asked:
+		if line != "tail 1\n" {
+			t.Errorf("%q", line)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the journal service is back and is not asked")
+	}
+	node.Process.Signal(syscall.SIGTERM)
+	ends(t, done)
+	if strings.Contains(said.String(), "too many open files") {
+		t.Error(said.String())
+	}
+}
+
 // stopping is a node that is told to stop.
 func (h *hall) stopping(hup chan os.Signal, read func() (*platform.Machine, error)) (done chan error) {
 	stop := make(chan struct{})
--- a/cmd/streamcleat/node_test.go
+++ b/cmd/streamcleat/node_test.go
@@ -41,6 +41,18 @@
 	return l
 }
 
+// document is one front end's, with one worker.
+func document(listen, journal, worker string, sockets int) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":%d},"journal":%q,
+		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"z","class":"k",
+		"health":"active","share":1,"born_ms":0}]}}]},
+		"settings":{"Balancers":1,"RoundMs":4,"Caps":{"RetryAfter":true,"MaxRetryAfterMs":500,"MostTries":4,"MaxStreams":32,"MaxOpen":2000,
+		"DialTimeoutMs":250,"IdleCloseMs":30000},"Classes":[{"Name":"call","AimMs":500,"GiveUpMs":1500,"Idempotency":"free"}],
+		"Accounts":[{"Name":"acme","QuotaPerS":1000}],"Discovery":"automatic","Domain":{"MayOrder":true,"OrderTimeoutMs":1000,
+		"StaysLoadedMs":8000,"WhenAbsent":"miss"},"Rules":{"ColdFrom":0.3,"FallMs":1500,"FallMultiple":2.5,"WarmWithinMs":16000}}}`,
+		listen, sockets, journal, worker)
+}
+
 func newHall(t *testing.T, sockets int) *hall {
 	h := &hall{t: t, worker: listen(t), lines: make(chan string, 10), wrote: make(chan byte, 64)}
 	go h.work()
@@ -67,14 +79,7 @@
 			}()
 		}
 	}()
-	doc := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":%d},"journal":%q,
-		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"z","class":"k",
-		"health":"active","share":1,"born_ms":0}]}}]},
-		"settings":{"Balancers":1,"RoundMs":4,"Caps":{"RetryAfter":true,"MaxRetryAfterMs":500,"MostTries":4,"MaxStreams":32,"MaxOpen":2000,
-		"DialTimeoutMs":250,"IdleCloseMs":30000},"Classes":[{"Name":"call","AimMs":500,"GiveUpMs":1500,"Idempotency":"free"}],
-		"Accounts":[{"Name":"acme","QuotaPerS":1000}],"Discovery":"automatic","Domain":{"MayOrder":true,"OrderTimeoutMs":1000,
-		"StaysLoadedMs":8000,"WhenAbsent":"miss"},"Rules":{"ColdFrom":0.3,"FallMs":1500,"FallMultiple":2.5,"WarmWithinMs":16000}}}`,
-		sockets, feed.Addr(), h.worker.Addr())
+	doc := document("127.0.0.1:0", feed.Addr().String(), h.worker.Addr().String(), sockets)
 	var err error
 	if h.machine, err = platform.ReadMachine([]byte(doc)); err != nil {
 		t.Fatal(err)
@@ -118,7 +123,8 @@
 					continue
 				}
 				code := byte(64)
-				if reply := h.reply.Load(); reply != nil {
+				reply := h.reply.Load()
+				if reply != nil {
 					code = (*reply)(head[1])
 				}
 				out := append([]byte{193, code}, binary.BigEndian.AppendUint16(nil, uint16(len(fields)))...)
@@ -129,7 +135,7 @@
 					sum++
 				}
 				c.Write(binary.BigEndian.AppendUint32(out, sum))
-				if h.reply.Load() != nil {
+				if reply != nil {
 					h.wrote <- head[1]
 				}
 			}
@@ -138,21 +144,22 @@
 }
 
 type caller struct {
-	h *hall
 	c net.Conn
 	n uint32
 }
 
 var calls atomic.Uint64
 
-func (h *hall) dial() *caller {
-	c, err := net.Dial("tcp", h.front.Addr())
+func (h *hall) dial() *caller { return call(h.t, h.front.Addr()) }
+
+func call(t *testing.T, addr string) *caller {
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
-		h.t.Fatal(err)
+		t.Fatal(err)
 	}
-	h.t.Cleanup(func() { c.Close() })
+	t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(5 * time.Second))
-	return &caller{h: h, c: c}
+	return &caller{c: c}
 }
 
 // ask sends one request.
--- a/frontend/front.go
+++ b/frontend/front.go
@@ -352,19 +352,26 @@
 }
 
 // evict closes the client connection that has been idle longest. One with an event open, or on which a part of one
-// came, is never closed.
+// came, is never closed; nor is one on which a request lies unread, which closing would cut off.
 func (f *Front) evict() bool {
-	var oldest *Client
-	at := 0.0
-	for _, cl := range f.clients {
-		if since, free := cl.session.Free(); f.set.Evict && free && (oldest == nil || since < at) {
-			oldest, at = cl, since
+	for f.set.Evict {
+		var oldest *Client
+		at := 0.0
+		for _, cl := range f.clients {
+			if since, free := cl.session.Free(); free && (oldest == nil || since < at) {
+				oldest, at = cl, since
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		f.readAhead(oldest)
+		if since, free := oldest.session.Free(); oldest.gone || free && since == at {
+			f.closeClient(oldest)
+			return true
 		}
 	}
-	if oldest != nil {
-		f.closeClient(oldest)
-	}
-	return oldest != nil
+	return false
 }
 
 // FromClient takes bytes from a client.
--- a/netloop/host.go
+++ b/netloop/host.go
@@ -42,13 +42,15 @@
 		if err == nil {
 			var got <-chan gnet.RegisteredResult
 			l := &link{loop: s.loop, no: no}
+			s.entering <- struct{}{}
+			defer func() { <-s.entering }()
 			if got, err = s.loop.Enroll(gnet.NewContext(context.Background(), l), c); err == nil {
 				err = (<-got).Err
 			}
+			c.Close() // gnet has a descriptor of its own
 			if err == nil {
-				return // OnOpen tells the front end
+				return // OnOpen told the front end
 			}
-			c.Close()
 		}
 		s.post(func() { s.front.Dialed(no, nil, err) })
 	}()
--- a/netloop/server.go
+++ b/netloop/server.go
@@ -90,6 +90,7 @@
 	loop     gnet.EventLoop
 	ready    chan error
 	begun    chan struct{}
+	entering chan struct{} // connections to workers that hold two descriptors while the loop takes them over
 	finished chan error
 	front    *frontend.Front
 	lost     []gateway.Answer
@@ -113,7 +114,8 @@
 		set.Log = slog.New(slog.DiscardHandler)
 	}
 	set.Log = set.Log.With("front_end", set.Name)
-	s := &Server{set: set, log: set.Log, ready: make(chan error, 1), begun: make(chan struct{}), finished: make(chan error, 1)}
+	s := &Server{set: set, log: set.Log, ready: make(chan error, 1), begun: make(chan struct{}),
+		entering: make(chan struct{}, 8), finished: make(chan error, 1)}
 	if set.Self != "" {
 		s.known = map[netip.AddrPort]bool{}
 	}
