A test of what 1, 3, 30 and 300 front ends together send to a cold worker

Seen: the sum over the fleet was tested at 150 front ends with even demand and without restarts only. Change: a test with 1, 3, 30 and 300 Routers, learned from uneven traffic, a third of them restarted on the way, each sending all that it may; the plain model counts every window against N + 2 x root of N + 2. Conclusion: the budget is shared exactly enough; nothing in the module changed.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 	"testing"
@@ -207,6 +208,65 @@
 	}
 }
 
+// However many processes there are, however unevenly events come to them, and though a third of them restarts on the way
+// and knows nothing, their sum keeps what a cold worker bears, with the slack that the rule has for chance. Here every
+// front end sends all that it may.
+func TestColdWorkersBearTheSum(t *testing.T) {
+	for _, n := range []int{1, 3, 30, 300} {
+		d := plain()
+		d.FrontEnds = n
+		w := newWorld(int64(n), d, 4)
+		asked := 0
+		kind := d.EventTypes[0]
+		for range 800 { // 8 s of half of what the fleet can do, most of it at few front ends
+			w.step(0.01)
+			if w.rnd.Float64() < 0.4 {
+				asked++
+				u := w.rnd.Float64()
+				f := w.fes[int(float64(n)*u*u*u)]
+				f.take(EventID(fmt.Sprint("e", asked)), FunctionID(fmt.Sprint("f", asked%5)), kind, 2)
+			}
+		}
+		m := w.wks[0]
+		m.Born, m.bornAt = w.now, w.now
+		for _, f := range w.fes {
+			f.tell(false)
+		}
+		var sent []float64
+		for step := range 1400 {
+			w.step(0.01)
+			if step == 300 {
+				for i, f := range w.fes {
+					if i%3 == 0 {
+						f.r = New(d, uint64(n+i)*0x9e3779b97f4a7c15, f, w.now)
+						f.tell(true)
+					}
+				}
+			}
+			for _, i := range w.rnd.Perm(n) {
+				f := w.fes[i]
+				for f.r.coldRoom(0) {
+					id := EventID(fmt.Sprint("c", len(sent)))
+					f.evts[id] = &taken{kind: kind, due: w.now + 1}
+					f.r.launch(&event{Event: Event{ID: id}, fn: &function{lanes: 1}, kind: &kind, due: w.now + 1}, 0)
+					sent = append(sent, w.now)
+				}
+			}
+			in := 0.0
+			for k := len(sent) - 1; k >= 0 && sent[k] > w.now-d.FallWindow; k-- {
+				in++
+			}
+			bears := d.FallFactor * (d.ColdShare + (1-d.ColdShare)*(w.now-m.bornAt)/d.WarmWithin) * d.FallWindow * m.rate
+			if in > bears+2*math.Sqrt(bears)+2 {
+				t.Fatalf("%d front ends: %.0f launches in the window %.2f s after the start, which bears %.1f", n, in, w.now-m.bornAt, bears)
+			}
+		}
+		if len(sent) < 5 {
+			t.Errorf("%d front ends: a cold worker got %d launches in its warm-up", n, len(sent))
+		}
+	}
+}
+
 // Many front ends, none of which fills a copy alone, spread a hot function. Unknown messages move nothing.
 func TestHotFunctionSpreadsOverManyFrontEnds(t *testing.T) {
 	for _, tells := range []bool{false, true} {
