--- a/netloop/follow_test.go
+++ b/netloop/follow_test.go
@@ -41,12 +41,14 @@
 	first, hello := serve(
 		func(c net.Conn) { fmt.Fprint(c, "a\nb"); c.Close() }, // breaks off; what is cut off is for line to judge
 		func(c net.Conn) { fmt.Fprintln(c, "c"); hold(c) },    // falls silent
+		func(c net.Conn) { hold(c) },                          // says nothing at all
+		func(c net.Conn) { fmt.Fprint(c, "bad ha"); hold(c) }, // falls silent in the middle of a line
 		func(c net.Conn) { fmt.Fprintln(c, "bad"); hold(c) },
 		func(c net.Conn) { fmt.Fprintln(c, "d"); hold(c) })
 	var n atomic.Int32
 	got := make(chan string, 10)
 	f := Follow(first, 150*time.Millisecond, func() []byte { return fmt.Appendf(nil, "from %d\n", n.Load()) }, func(line []byte) error {
-		if string(line) == "bad" {
+		if strings.HasPrefix(string(line), "bad") {
 			return errors.New("bad line")
 		}
 		n.Add(1)
@@ -65,7 +67,7 @@
 			t.Fatalf("%q did not come", text)
 		}
 	}
-	for _, c := range [][]string{{"from 0\n", "a", "b"}, {"from 2\n", "c"}, {"from 3\n"}, {"from 3\n", "d"}} {
+	for _, c := range [][]string{{"from 0\n", "a", "b"}, {"from 2\n", "c"}, {"from 3\n"}, {"from 3\n"}, {"from 3\n"}, {"from 3\n", "d"}} {
 		want(hello, c[0])
 		for _, line := range c[1:] {
 			want(got, line)
