--- a/frontend/front.go
+++ b/frontend/front.go
@@ -366,6 +366,7 @@
 			return false
 		}
 		f.readAhead(oldest)
+		f.Settle()
 		if since, free := oldest.session.Free(); oldest.gone || free && since == at {
 			f.closeClient(oldest)
 			return true
