Tests of worker connections that end under a launch, and of second answers, on real connections

Seen: the bad orders on the worker's side were tested in the pool without sockets only. Change: a worker resets or closes behind the accept, over an unread launch, after reading it and in mid-answer: an event that may run again is handled by a second launch, an at-most-once one is launched once and dead-lettered; a second answer that comes while the next launch is out is not taken for its own. Conclusion: no fault found here.

--- a/cmd/streamcleat/crossing_test.go
+++ b/cmd/streamcleat/crossing_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -89,6 +93,91 @@
 	}
 }
 
+// A worker's connection that ends under a launch, at whatever point: what may run again is launched anew and handled, what
+// must not is launched once. A second answer some milliseconds after the first belongs to nobody.
+func TestWorkerConnectionsThatEndUnderALaunch(t *testing.T) {
+	t.Parallel()
+	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }
+	read := func(c net.Conn) []byte {
+		b := make([]byte, 64<<10)
+		n, _ := c.Read(b)
+		return b[:n]
+	}
+	for name, end := range map[string]func(c net.Conn){
+		"reset behind the accept": reset,
+		"closed behind it":        func(c net.Conn) { c.Close() },
+		"reset over the launch":   func(c net.Conn) { time.Sleep(20 * time.Millisecond); reset(c) }, // it lies there unread
+		"reset after reading it":  func(c net.Conn) { read(c); reset(c) },
+		"closed in mid-answer":    func(c net.Conn) { read(c); c.Write([]byte{193, 64, 0}); c.Close() },
+	} {
+		for kind, tries := range map[string]int32{"call": 2, "once": 1} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				t.Parallel()
+				h := newHall(t, 256)
+				k := h.dial()
+				k.ask("warm")
+				k.hear()
+				var met atomic.Int32
+				meet := func(c net.Conn) bool {
+					if met.Add(1) == 1 {
+						end(c)
+						return true
+					}
+					return false
+				}
+				h.meet.Store(&meet)
+				h.silent.Store(true) // the connection that stands is kept busy, so that the next launch takes a new one
+				k.ask("holds the first connection")
+				for h.ran.Load() < 2 {
+					time.Sleep(time.Millisecond)
+				}
+				h.silent.Store(false)
+				k.c.Write(bytes.Replace(k.request("00000000000000f1", "again"), []byte("\x00\x04call"), []byte("\x00\x04"+kind), 1))
+				got := k.hear()
+				if handled := strings.Contains(got, "again"); handled != (tries == 2) || h.ran.Load() > 1+tries {
+					t.Errorf("%s; %d launches came whole, %d connections", got, h.ran.Load()-2, met.Load())
+				}
+				if kind == "once" && !strings.HasPrefix(got, `2/3 "\r`) {
+					t.Error("not dead-lettered:", got)
+				}
+			})
+		}
+	}
+}
+
+func TestSecondAnswerBelongsToNobody(t *testing.T) {
+	t.Parallel()
+	h := newHall(t, 256)
+	meet := func(c net.Conn) bool {
+		var last []byte
+		for {
+			head := make([]byte, 16)
+			if _, err := io.ReadFull(c, head); err != nil {
+				return true
+			}
+			rest := make([]byte, int(binary.BigEndian.Uint16(head[2:]))+int(binary.BigEndian.Uint32(head[4:]))+4)
+			io.ReadFull(c, rest)
+			body := rest[binary.BigEndian.Uint16(head[2:]) : len(rest)-4]
+			out := append([]byte{193, 64, 0, 10}, binary.BigEndian.AppendUint32(nil, uint32(len(body)))...)
+			out = append(append(append(out, head[8:]...), "slots_up=1"...), body...)
+			out = binary.BigEndian.AppendUint32(out, crc32.ChecksumIEEE(out[16:]))
+			c.Write(last) // again, while the next launch is out
+			time.Sleep(2 * time.Millisecond)
+			c.Write(out)
+			last = out
+		}
+	}
+	h.meet.Store(&meet)
+	k := h.dial()
+	for n := range 20 {
+		body := fmt.Sprint("number ", n)
+		k.ask(body)
+		if got := k.hear(); !strings.HasSuffix(got, body+`"`) {
+			t.Fatal(n, got)
+		}
+	}
+}
+
 // A request that lies unread when room is made for another connection is served; a truly idle connection goes.
 func TestEvictionReadsWhatLiesUnread(t *testing.T) {
 	t.Parallel()
--- a/cmd/streamcleat/node_test.go
+++ b/cmd/streamcleat/node_test.go
@@ -29,6 +29,7 @@
 	ran     atomic.Int32
 	lines   chan string                                    // of the journal service
 	reply   atomic.Pointer[func(command byte) (code byte)] // called before an answer leaves; nil: 64
+	meet    atomic.Pointer[func(c net.Conn) bool]          // called with each connection to the worker; true: it dealt with it
 	wrote   chan byte                                      // commands whose answers have left, with a reply
 }
 
@@ -47,7 +48,8 @@
 		"known":{"pos":1,"entries":[{"pos":1,"hosts":{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"site":"z","class":"k",
 		"health":"active","share":1,"born_ms":0}]}}]},
 		"settings":{"Balancers":1,"RoundMs":4,"Caps":{"RetryAfter":true,"MaxRetryAfterMs":500,"MostTries":4,"MaxStreams":32,"MaxOpen":2000,
-		"DialTimeoutMs":250,"IdleCloseMs":30000},"Classes":[{"Name":"call","AimMs":500,"GiveUpMs":1500,"Idempotency":"free"}],
+		"DialTimeoutMs":250,"IdleCloseMs":30000},"Classes":[{"Name":"call","AimMs":500,"GiveUpMs":1500,"Idempotency":"free"},
+		{"Name":"once","AimMs":500,"GiveUpMs":1500,"Idempotency":"single_shot"}],
 		"Accounts":[{"Name":"acme","QuotaPerS":1000}],"Discovery":"automatic","Domain":{"MayOrder":true,"OrderTimeoutMs":1000,
 		"StaysLoadedMs":8000,"WhenAbsent":"miss"},"Rules":{"ColdFrom":0.3,"FallMs":1500,"FallMultiple":2.5,"WarmWithinMs":16000}}}`,
 		listen, sockets, journal, worker)
@@ -101,6 +103,9 @@
 		}
 		go func() {
 			defer c.Close()
+			if meet := h.meet.Load(); meet != nil && (*meet)(c) {
+				return
+			}
 			for {
 				head := make([]byte, 16)
 				if _, err := io.ReadFull(c, head); err != nil {
