--- a/cmd/streamcleat/crossing_test.go
+++ b/cmd/streamcleat/crossing_test.go
@@ -145,6 +145,44 @@
 	}
 }
 
+// The mark by which workers know a keyed event's repeat reaches them unchanged; where there is none, none is made up.
+func TestKeyReachesTheWorker(t *testing.T) {
+	t.Parallel()
+	for key, want := range map[string]string{"k-81f3:7": ",uniq=k-81f3:7", "": ""} {
+		h := newHall(t, 256)
+		got := make(chan string, 1)
+		meet := func(c net.Conn) bool {
+			for {
+				head := make([]byte, 16)
+				if _, err := io.ReadFull(c, head); err != nil {
+					return true
+				}
+				rest := make([]byte, int(binary.BigEndian.Uint16(head[2:]))+int(binary.BigEndian.Uint32(head[4:]))+4)
+				io.ReadFull(c, rest)
+				if head[1] == 48 {
+					got <- string(rest[:binary.BigEndian.Uint16(head[2:])])
+					return true
+				}
+				out := append([]byte{193, 64, 0, 10, 0, 0, 0, 0}, head[8:]...)
+				out = append(out, "slots_up=1"...)
+				c.Write(binary.BigEndian.AppendUint32(out, crc32.ChecksumIEEE(out[16:])))
+			}
+		}
+		h.meet.Store(&meet)
+		k := h.dial()
+		frame := k.request("00000000000000f1", "")
+		if key != "" {
+			field := append(append([]byte{5}, "opkey"...), 0, byte(len(key)))
+			frame = append(frame, append(field, key...)...)
+			frame[3], frame[9] = byte(len(frame)-4), frame[9]+1
+		}
+		k.c.Write(frame)
+		if fields := <-got; !strings.HasSuffix(fields, want) || strings.Contains(fields, "uniq") != (want != "") {
+			t.Errorf("%q, want %q at the end", fields, want)
+		}
+	}
+}
+
 func TestSecondAnswerBelongsToNobody(t *testing.T) {
 	t.Parallel()
 	h := newHall(t, 256)
--- a/cmd/streamcleat/node.go
+++ b/cmd/streamcleat/node.go
@@ -112,7 +112,7 @@
 		NewPool: func(w frontend.Wire, s workers.Sink) frontend.Backends {
 			return backends.NewPool(backends.Limits{Dial: m.Terms.Caps.DialTimeoutMs / 1000,
 				Idle: m.Terms.Caps.IdleCloseMs / 1000 * 0.6, Most: toWorkers, Each: max(toWorkers/20, 2),
-				Streams: max(m.Terms.Caps.MaxStreams, 1)}, w, s)
+				Streams: max(m.Terms.Caps.MaxStreams, 1), Key: clients.KeyField}, w, s)
 		},
 	}
 	// An eighth of the memory for answers that clients leave unread, on all connections together.
