--- a/cmd/streamcleat/crossing_test.go
+++ b/cmd/streamcleat/crossing_test.go
@@ -32,6 +32,14 @@
 	return release
 }
 
+// warm is a client that has been served, so that a copy stands.
+func (h *hall) warm() *caller {
+	k := h.dial()
+	k.ask("warm")
+	k.hear()
+	return k
+}
+
 // A client that left must find no launch after that, though the worker's answer that asks for one is read first.
 func TestNothingIsLaunchedForAClientThatLeft(t *testing.T) {
 	t.Parallel()
@@ -56,9 +64,7 @@
 			t.Run(name+" "+waits, func(t *testing.T) {
 				t.Parallel()
 				h := newHall(t, 256)
-				k := h.dial()
-				k.ask("warm")
-				k.hear()
+				k := h.warm()
 				got, answer := make(chan struct{}, 1), make(chan struct{})
 				reply := func(c byte) byte {
 					if c != command {
@@ -114,9 +120,7 @@
 			t.Run(name+" "+kind, func(t *testing.T) {
 				t.Parallel()
 				h := newHall(t, 256)
-				k := h.dial()
-				k.ask("warm")
-				k.hear()
+				k := h.warm()
 				var met atomic.Int32
 				meet := func(c net.Conn) bool {
 					if met.Add(1) == 1 {
@@ -223,9 +227,7 @@
 func TestEvictionReadsWhatLiesUnread(t *testing.T) {
 	t.Parallel()
 	h := newHall(t, 64)
-	k := h.dial()
-	k.ask("")
-	k.hear()
+	k := h.warm()
 	var others []*caller
 	for range 23 { // 24 are held: 64 less 28 kept back, less a third of the rest for workers
 		others = append(others, h.dial())
@@ -344,9 +346,7 @@
 func TestStopIsToldAtOnceAndTakesWhatIsHalfSent(t *testing.T) {
 	t.Parallel()
 	h := newHall(t, 256)
-	k := h.dial()
-	k.ask("")
-	k.hear()
+	k := h.warm()
 	ready := func() string {
 		k.c.Write([]byte{0, 0, 0, 6, 4, 0, 0, 0, 0, 0})
 		return k.hear()
@@ -380,9 +380,7 @@
 func TestStopWithARetryToCome(t *testing.T) {
 	t.Parallel()
 	h := newHall(t, 256)
-	k := h.dial()
-	k.ask("")
-	k.hear()
+	k := h.warm()
 	got, answer := make(chan struct{}, 4), make(chan struct{}, 1)
 	tries := 0
 	reply := func(byte) byte {
@@ -444,9 +442,7 @@
 				c.change(&m)
 				return &m, c.err
 			})
-			k := h.dial()
-			k.ask("")
-			k.hear()
+			k := h.warm()
 			hup <- os.Interrupt
 			select {
 			case <-asked:
