--- a/cmd/streamcleat/node_fixture_test.go
+++ b/cmd/streamcleat/node_fixture_test.go
@@ -128,9 +128,17 @@
 func newNodeFixture(t *testing.T, descriptors int) *nodeFixture {
 	t.Helper()
 	f := newWorkerFixture(t)
+	f.startNode(descriptors, func(text string) string { return text })
+	return f
+}
+
+// startNode starts a journal service, and a front end by the document that edit makes of the usual one.
+func (f *nodeFixture) startNode(descriptors int, edit func(text string) string) {
+	t := f.t
+	t.Helper()
 	journal := listenOnLoopback(t)
 	go f.serveJournal(journal)
-	text := documentText("127.0.0.1:0", journal.Addr().String(), f.worker.Addr().String(), descriptors)
+	text := edit(documentText("127.0.0.1:0", journal.Addr().String(), f.worker.Addr().String(), descriptors))
 	var err error
 	if f.document, err = platform.ReadDocument([]byte(text)); err != nil {
 		t.Fatal(err)
@@ -145,7 +153,6 @@
 			t.Error("stop:", err)
 		}
 	})
-	return f
 }
 
 // serveJournal sends the lines of the test to whoever watches, and the last number in between.
--- a/cmd/streamcleat/node_process_test.go
+++ b/cmd/streamcleat/node_process_test.go
@@ -119,3 +119,41 @@
 		t.Error(said)
 	}
 }
+
+// Where accept fails because the machine has no descriptor left, what is open goes on, and new clients are served once
+// there is one again.
+func TestProcessSurvivesAcceptErrors(t *testing.T) {
+	t.Parallel()
+	const stated, enforced = 1024, 48
+	f := newWorkerFixture(t)
+	addrs := freeAddresses(t, 2)
+	journalAddr, nodeAddr := addrs[0], addrs[1]
+	node := startNodeProcess(t, documentText(nodeAddr, journalAddr, f.worker.Addr().String(), stated), nodeAddr, enforced)
+	early := dialNode(t, nodeAddr)
+	early.send("early")
+	if got := early.receive(); !strings.Contains(got, "early") {
+		t.Fatal(got)
+	}
+	var silent []net.Conn
+	for range 2 * enforced {
+		if conn, err := net.Dial("tcp", nodeAddr); err == nil {
+			silent = append(silent, conn)
+		}
+	}
+	early.send("while accept fails")
+	if got := early.receive(); !strings.Contains(got, "while accept fails") {
+		t.Error("what was open does not go on:", got)
+	}
+	for _, conn := range silent {
+		closeConnection(t, conn)
+	}
+	late := dialNode(t, nodeAddr)
+	late.send("afterwards")
+	if got := late.receive(); !strings.Contains(got, "afterwards") {
+		t.Error("nobody is served any more:", got)
+	}
+	if err := node.process.Signal(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	waitForExit(t, node.done)
+}
