--- a/cmd/streamcleat/architecture_test.go
+++ b/cmd/streamcleat/architecture_test.go
@@ -114,3 +114,23 @@
 		t.Errorf("only %d names were checked: has the page changed its form?", checked)
 	}
 }
+
+// Clearances to send are made by the dispatcher alone, and by fakes of it: nothing else can have a request encoded.
+func TestOnlyTheDispatcherGrantsClearances(t *testing.T) {
+	err := filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		if strings.Contains(path, "internal/dispatch/") || strings.Contains(path, "internal/goldentest/") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if strings.Contains(string(data), "dispatch.Grant(") {
+			t.Errorf("%s grants a clearance by itself", path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,11 +4,12 @@
 
 // activeAttempt is an attempt that is in flight.
 type activeAttempt struct {
-	id      uint64
-	request *openRequest
-	worker  control.WorkerID
-	sentAt  float64
-	number  int // 0 for the first attempt of the request
+	id       uint64
+	request  *openRequest
+	worker   control.WorkerID
+	sentAt   float64
+	deadline float64
+	number   int // 0 for the first attempt of the request
 }
 
 // mayHaveRun tells whether an attempt that ended so may have run; the outcomes from control.Rejected on prove that it
@@ -18,7 +19,8 @@
 // startAttempt sends an open request to a worker. Where the request must not run twice, a record that it may have run
 // becomes durable first.
 func (d *Dispatcher) startAttempt(req *openRequest, worker control.WorkerID, timeout float64) {
-	attempt := &activeAttempt{id: d.nextID(), request: req, worker: worker, sentAt: d.now, number: req.attempts}
+	attempt := &activeAttempt{id: d.nextID(), request: req, worker: worker, sentAt: d.now,
+		deadline: d.now + timeout, number: req.attempts}
 	req.attemptStarted(attempt)
 	d.inFlight[attempt.id] = attempt
 	d.counts.Attempts++
@@ -28,10 +30,6 @@
 		d.recordAttempt(req)
 	}
 	d.addStep(req, StepAttemptStarted, string(worker), d.routingSummary(req.routingFunction()))
-	var first WaiterID
-	if len(req.waiters) > 0 {
-		first = req.waiters[0].id
-	}
 	d.effects.SendAttempt(Attempt{
 		ID:           attempt.id,
 		Worker:       worker,
@@ -44,8 +42,6 @@
 		Body:         req.request.Body,
 		Binding:      req.binding,
 		AwaitsRecord: awaitsRecord,
-		Waiter:       first,
-		Delayed:      d.now > req.startedAt,
 	})
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -54,6 +54,8 @@
 	Attempts, LoadCommands, TimedOut, Cancelled uint64
 	Open, InFlight, Cached, CachedBytes, Timers int // at this moment
 	PendingLoads                                int // at this moment
+
+	SendsRefused [sendRefusals]uint64 // attempts that were not written any more, by SendRefusal
 }
 
 // New returns a Dispatcher whose clock reads now, in seconds of a clock that never goes back.
--- a/internal/dispatch/effects.go
+++ b/internal/dispatch/effects.go
@@ -6,7 +6,8 @@
 type Effects interface {
 	// Respond gives a waiter its final response.
 	Respond(to WaiterID, response Response)
-	// SendAttempt sends a request to a worker; its end is reported by [Dispatcher.OnAttemptReply].
+	// SendAttempt sends a request to a worker, as long as [Dispatcher.Clear] permits it when its bytes could leave; its
+	// end is reported by [Dispatcher.OnAttemptReply].
 	SendAttempt(attempt Attempt)
 	// SendLoad sends a load command; its end is reported by [Dispatcher.OnLoadReply].
 	SendLoad(command LoadCommand)
@@ -34,9 +35,7 @@
 	Fields       []Field
 	Body         []byte
 	Binding      Binding
-	AwaitsRecord bool     // must not be sent before its record is durable
-	Waiter       WaiterID // the first waiter of the request; 0: none
-	Delayed      bool     // the request was admitted earlier than now: its client may have left since
+	AwaitsRecord bool // must not be sent before its record is durable
 }
 
 // LoadCommand tells a worker to hold replicas of a function.
--- a/internal/goldentest/workers.go
+++ b/internal/goldentest/workers.go
@@ -36,6 +36,8 @@
 	heldBack  []byte                                   // goes with the next bytes
 	pieceSize int                                      // bytes that are fed at a time; 0: all
 	lines     []string                                 // of the transcript, since the script's line
+	now       float64                                  // of the script's line
+	deadlines map[uint64]float64                       // of attempts
 }
 
 func (w *FakeWorkers) logf(format string, args ...any) {
@@ -60,6 +62,20 @@
 // Unsent is what the script states of a connection's buffer.
 func (w *FakeWorkers) Unsent(c upstream.ConnID) int { return w.unsent[c] }
 
+// Clear permits everything, with the time that is left of what the script states.
+func (w *FakeWorkers) Clear(id uint64, _ bool) dispatch.Clearance {
+	return dispatch.Grant(w.deadlines[id] - w.now)
+}
+
+// sendAttempt hands an attempt to the pool and notes its deadline.
+func (w *FakeWorkers) sendAttempt(now float64, attempt dispatch.Attempt) {
+	if w.deadlines == nil {
+		w.deadlines = map[uint64]float64{}
+	}
+	w.deadlines[attempt.ID] = now + attempt.Timeout
+	w.Pool.SendAttempt(now, attempt)
+}
+
 // OnAttemptReply records the end of an attempt.
 func (w *FakeWorkers) OnAttemptReply(id uint64, r dispatch.WorkerReply) {
 	w.logf("attempt %d ended: %s found=%s running=%v waiting=%v report=%v digest=%q fields=%s body=%s",
@@ -74,7 +90,7 @@
 
 // Act carries out one line of the script.
 func (w *FakeWorkers) Act(now float64, verb string, words []string) []string {
-	w.lines = nil
+	w.lines, w.now = nil, now
 	w.act(now, verb, words)
 	w.Pool.Flush()
 	if err := w.Pool.Check(); err != nil {
@@ -89,7 +105,7 @@
 	case "workers":
 		w.setEndpoints(words[0])
 	case "attempt":
-		w.Pool.SendAttempt(now, parseAttempt(number(), words[1], Options(words[2:])))
+		w.sendAttempt(now, parseAttempt(number(), words[1], Options(words[2:])))
 	case "load":
 		w.Pool.SendLoad(now, parseLoadCommand(number(), words[1], Options(words[2:])))
 	case "withdraw":
--- a/internal/platform/upstream/pool.go
+++ b/internal/platform/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 
@@ -48,8 +49,11 @@
 // loadWireIDBit keeps the wire ids of load commands apart from those of attempts, which are the requests' own.
 const loadWireIDBit = 1 << 63
 
-// minTimeout is the least time in seconds that an attempt states to its worker.
-const minTimeout = 0.001
+const (
+	millisecondsPerSecond = 1000
+	// minTimeoutMilliseconds is the least time that an attempt states to its worker.
+	minTimeoutMilliseconds = 1
+)
 
 // NewPool makes a pool without workers.
 func NewPool(limits Limits, transport Transport, results upstream.Results) *Pool {
@@ -99,12 +103,15 @@
 		p.exchanges.FailUnsent(e)
 		return
 	}
-	e.Request = encodeFrame(commandAttempt, id, p.attemptFields(a), a.Body)
+	e.Encode = func(clearance dispatch.Clearance) []byte {
+		return encodeFrame(commandAttempt, id, p.attemptFields(clearance, a), a.Body)
+	}
 	p.send(now, e)
 }
 
-func (p *Pool) attemptFields(a dispatch.Attempt) string {
-	milliseconds := strconv.FormatFloat(max(a.Timeout, minTimeout)*1000, 'f', 0, 64)
+func (p *Pool) attemptFields(clearance dispatch.Clearance, a dispatch.Attempt) string {
+	timeLeft := math.Floor(clearance.TimeLeft() * millisecondsPerSecond)
+	milliseconds := strconv.FormatFloat(max(timeLeft, minTimeoutMilliseconds), 'f', 0, 64)
 	fields := fieldClass + "=" + a.Class + "," + fieldFunction + "=" + a.Function + "," + fieldTimeout + "=" + milliseconds
 	for _, f := range a.Fields {
 		if f.Name == p.limits.IdempotencyKeyField && f.Value != "" {
@@ -124,8 +131,8 @@
 	p.lastLoadWireID++
 	id := p.lastLoadWireID | loadWireIDBit
 	fields := fieldFunction + "=" + command.Function + "," + fieldReplicas + "=" + strconv.Itoa(command.Replicas)
-	p.send(now, &exchange{Exchange: upstream.Exchange{ID: command.ID, Worker: command.Worker, IsLoad: true,
-		Request: encodeFrame(commandLoad, id, fields, nil)}, wireID: id})
+	encode := func(dispatch.Clearance) []byte { return encodeFrame(commandLoad, id, fields, nil) }
+	p.send(now, &exchange{Exchange: upstream.Exchange{ID: command.ID, Worker: command.Worker, IsLoad: true, Encode: encode}, wireID: id})
 }
 
 func (p *Pool) sendUnload(now float64, command dispatch.LoadCommand) {
@@ -149,7 +156,28 @@
 		c.waiting = append(c.waiting, e)
 		return
 	}
-	e.Write(p.transport, c.ID)
+	p.write(c, e)
+}
+
+// write writes an exchange to its connection, or takes it off where it must not leave now.
+func (p *Pool) write(c *connection, e *exchange) {
+	if !p.exchanges.Write(e, p.transport, c.ID) {
+		delete(c.open, e.wireID)
+	}
+}
+
+// WaitingFor are the attempts that wait for the dial of a connection.
+func (p *Pool) WaitingFor(id upstream.ConnID) (attempts []uint64) {
+	c := p.connections.Get(id)
+	if c == nil {
+		return nil
+	}
+	for _, e := range c.waiting {
+		if !e.IsLoad {
+			attempts = append(attempts, e.ID)
+		}
+	}
+	return attempts
 }
 
 // pick returns the connection for one more exchange: an idle one; otherwise a new one while the worker may have more, so
@@ -197,7 +225,7 @@
 		p.failAll(c)
 	default:
 		for _, e := range c.takeWaiting() {
-			e.Write(p.transport, c.ID)
+			p.write(c, e)
 		}
 		p.settle(now, c)
 	}
--- a/internal/platform/upstream/pool_test.go
+++ b/internal/platform/upstream/pool_test.go
@@ -12,6 +12,9 @@
 	"streamcleat/internal/upstream"
 )
 
+// usualTimeLeft is the time in seconds that the client of an attempt waits when it is written.
+const usualTimeLeft = 1.5
+
 // fakeTransport records what a pool does on its connections, and what it reports.
 type fakeTransport struct {
 	t        *testing.T
@@ -22,6 +25,7 @@
 	unsent   map[upstream.ConnID]int
 	reported []string
 	bodies   []string
+	refused  uint64 // attempt that may not be written
 }
 
 func (n *fakeTransport) Dial(_ upstream.ConnID, addr string)  { n.dialed = append(n.dialed, addr) }
@@ -32,6 +36,15 @@
 	n.reported = append(n.reported, fmt.Sprintf("%d:%d/%d", id, r.Outcome, r.Start))
 	n.bodies = append(n.bodies, string(r.Body))
 }
+
+// Clear permits everything but refused, with usualTimeLeft.
+func (n *fakeTransport) Clear(id uint64, _ bool) dispatch.Clearance {
+	if id == n.refused {
+		return dispatch.Refuse(dispatch.SendNoWaiter)
+	}
+	return dispatch.Grant(usualTimeLeft)
+}
+
 func (n *fakeTransport) OnLoadReply(id uint64, outcome control.Outcome, replicas int) {
 	n.reported = append(n.reported, fmt.Sprintf("load %d:%d %d", id, outcome, replicas))
 }
@@ -293,6 +306,7 @@
 func (discard) Close(upstream.ConnID)                       {}
 func (discard) Unsent(upstream.ConnID) int                  { return 0 }
 func (discard) OnAttemptReply(uint64, dispatch.WorkerReply) {}
+func (discard) Clear(uint64, bool) dispatch.Clearance       { return dispatch.Grant(usualTimeLeft) }
 func (discard) OnLoadReply(uint64, control.Outcome, int)    {}
 
 // BenchmarkExchange is one attempt and its reply over a connection that is reused.
@@ -317,3 +331,23 @@
 		pool.OnData(1, 1, replies[id%ids])
 	}
 }
+
+// What may not leave when its connection is up, or at once, is not written and reported as not sent; all else is.
+func TestRefusedAttemptIsNotWritten(t *testing.T) {
+	n := newFakeTransport(t, 1, 32)
+	n.refused = 2
+	for id := uint64(1); id <= 3; id++ {
+		n.attempt(id, "a")
+	}
+	if got := n.pool.WaitingFor(1); !slices.Equal(got, []uint64{1, 2, 3}) {
+		t.Error("waiting:", got)
+	}
+	n.pool.OnDialed(0, 1, nil)
+	n.expect("2:7/0")
+	n.refused = 4
+	n.attempt(4, "a")
+	n.expect("4:7/0")
+	if got := n.codes(1); len(got) != 2 {
+		t.Errorf("%d frames were written", len(got))
+	}
+}
--- a/internal/proxy/durability.go
+++ b/internal/proxy/durability.go
@@ -99,7 +99,7 @@
 
 // cancelPending cancels an attempt that waits and tells whether one did.
 func (p *Proxy) cancelPending(attempt uint64) (canceled bool) {
-	for _, list := range [...][]pendingEffect{p.durability.awaitingNext, p.durability.awaitingCurrent, p.delayedAttempts} {
+	for _, list := range [...][]pendingEffect{p.durability.awaitingNext, p.durability.awaitingCurrent, p.outgoingAttempts} {
 		for i := range list {
 			effect := &list[i]
 			if effect.attempt != nil && effect.attempt.ID == attempt {
@@ -143,7 +143,7 @@
 		case err != nil:
 			p.dispatcher.OnAttemptReply(p.host.Now(), effect.attempt.ID, dispatch.WorkerReply{Outcome: control.NotSent})
 		default:
-			p.pool.SendAttempt(p.host.Now(), *effect.attempt)
+			p.outgoingAttempts = append(p.outgoingAttempts, effect)
 		}
 	}
 	p.Flush()
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -22,11 +22,7 @@
 		p.sendOnceStored(&attempt)
 		return
 	}
-	if attempt.Delayed {
-		p.delayedAttempts = append(p.delayedAttempts, pendingEffect{attempt: &attempt})
-		return
-	}
-	p.pool.SendAttempt(p.host.Now(), attempt)
+	p.outgoingAttempts = append(p.outgoingAttempts, pendingEffect{attempt: &attempt})
 }
 
 // SendLoad implements dispatch.Effects.
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -14,7 +14,7 @@
 	p.flushing = true
 	for p.queued() > 0 || p.pool.Pending() {
 		p.pool.Flush()
-		p.flushDelayedAttempts()
+		p.flushAttempts()
 		p.flushRejectedAttempts()
 		p.commitRecords()
 		p.flushOperations()
@@ -27,26 +27,32 @@
 
 // queued counts the work that waits for Flush, without the pool's own.
 func (p *Proxy) queued() int {
-	return len(p.operations) + len(p.clientsToSend) + len(p.rejectedAttempts) + len(p.delayedAttempts)
+	return len(p.operations) + len(p.clientsToSend) + len(p.rejectedAttempts) + len(p.outgoingAttempts)
 }
 
-// flushDelayedAttempts sends the attempts of delayed requests, each once all that its client sent is read: a cancel or
-// a close that lies unread, behind a worker's response that was read first or behind much other input, must prevent a
-// further attempt.
-func (p *Proxy) flushDelayedAttempts() {
-	for len(p.delayedAttempts) > 0 {
-		first := &p.delayedAttempts[0]
-		if request, ok := p.clientRequests[first.attempt.Waiter]; ok && !first.canceled {
-			p.readAhead(request.client)
+// flushAttempts sends attempts, each once all that its client sent is read: a cancel or a close that lies unread, behind
+// the request itself, behind a worker's response that was read first or behind much other input, must prevent it.
+func (p *Proxy) flushAttempts() {
+	for len(p.outgoingAttempts) > 0 {
+		first := &p.outgoingAttempts[0]
+		if !first.canceled {
+			p.readClientOf(first.attempt.ID)
 		}
 		// Reading may have added others and moved the slice, so the first is looked up anew.
-		canceled, attempt := p.delayedAttempts[0].canceled, p.delayedAttempts[0].attempt
-		p.delayedAttempts = p.delayedAttempts[1:]
+		canceled, attempt := p.outgoingAttempts[0].canceled, p.outgoingAttempts[0].attempt
+		p.outgoingAttempts = p.outgoingAttempts[1:]
 		if !canceled {
 			p.pool.SendAttempt(p.host.Now(), *attempt)
 		}
 	}
-	p.delayedAttempts = nil
+	p.outgoingAttempts = nil
+}
+
+// readClientOf reads what the client that an attempt is for has sent and the event loop has not come to yet.
+func (p *Proxy) readClientOf(attempt uint64) {
+	if request, ok := p.clientRequests[p.dispatcher.FirstWaiter(attempt)]; ok {
+		p.readAhead(request.client)
+	}
 }
 
 // flushRejectedAttempts tells the dispatcher of attempts that were never sent because their records can't be taken.
--- a/internal/proxy/interfaces.go
+++ b/internal/proxy/interfaces.go
@@ -52,6 +52,8 @@
 	SetEndpoints(list *upstream.EndpointList)
 	SendAttempt(now float64, attempt dispatch.Attempt)
 	SendLoad(now float64, command dispatch.LoadCommand)
+	// WaitingFor are the attempts that wait for a dial to end.
+	WaitingFor(conn upstream.ConnID) []uint64
 	// CancelUnsent takes an attempt back if no byte of it has left, and tells whether it did.
 	CancelUnsent(attempt uint64) bool
 	// Abandon drops an attempt or a load command whose result is no longer wanted.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,7 +60,7 @@
 	flushing         bool
 	operations       []operation
 	rejectedAttempts []uint64        // attempts whose records can't be taken
-	delayedAttempts  []pendingEffect // attempts of delayed requests, until their clients' input is read
+	outgoingAttempts []pendingEffect // attempts, until what their clients sent is read
 	clientsToSend    []*Client
 
 	datagramHeader [datagramHeaderSize]byte
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -50,10 +50,24 @@
 	r.proxy.dispatcher.OnLoadReply(r.proxy.host.Now(), command, outcome, replicas)
 }
 
-// OnDialed tells how a dial ended: with a connection or an error.
+// Clear implements upstream.Results.
+func (r upstreamResults) Clear(id uint64, isLoad bool) dispatch.Clearance {
+	p := r.proxy
+	clearance := p.dispatcher.Clear(p.host.Now(), id, isLoad)
+	if !clearance.Granted() {
+		p.log.Info("attempt not sent", "attempt", id, "cause", clearance.Refusal().String())
+	}
+	return clearance
+}
+
+// OnDialed tells how a dial ended: with a connection or an error. What the clients of the attempts that waited for it
+// have sent is read first: they may have left meanwhile.
 func (p *Proxy) OnDialed(id upstream.ConnID, conn Conn, err error) {
 	if err == nil {
 		p.upstreamConns[id] = conn
+		for _, attempt := range p.pool.WaitingFor(id) {
+			p.readClientOf(attempt)
+		}
 	}
 	p.pool.OnDialed(p.host.Now(), id, err)
 	p.Flush()
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"net/url"
 	"strconv"
 	"strings"
@@ -18,6 +19,8 @@
 // passedFields are the fields of a worker's response that go on to the client.
 var passedFields = []string{"Content-Type", "Content-Encoding", "Content-Language"}
 
+const millisecondsPerSecond = 1000
+
 // encodedHeadSize is room for the request line and the usual fields.
 const encodedHeadSize = 256
 
@@ -38,11 +41,12 @@
 }
 
 // InferRequest encodes an attempt: POST /v2/models/{function}/infer, the CloudEvent's data passed through with its
-// context attributes as ce- fields. Request-Timeout states the seconds after which nobody waits any more. A version is
-// asked for by its name in the path and by its digest in If-Match: a worker that holds another one under that name
-// answers 412 and runs nothing.
-func InferRequest(addr, via string, a dispatch.Attempt) []byte {
-	fields := append([]dispatch.Field{{Name: "Request-Timeout", Value: strconv.FormatFloat(a.Timeout, 'f', 3, 64)}},
+// context attributes as ce- fields. Request-Timeout states the seconds after which nobody waits any more, rounded down. A
+// version is asked for by its name in the path and by its digest in If-Match: a worker that holds another one under that
+// name answers 412 and runs nothing.
+func InferRequest(addr, via string, clearance dispatch.Clearance, a dispatch.Attempt) []byte {
+	timeLeft := math.Floor(clearance.TimeLeft()*millisecondsPerSecond) / millisecondsPerSecond
+	fields := append([]dispatch.Field{{Name: "Request-Timeout", Value: strconv.FormatFloat(timeLeft, 'f', 3, 64)}},
 		a.Fields...)
 	if b := a.Binding; b.ID != "" {
 		fields = append(fields, dispatch.Field{Name: "If-Match", Value: `"` + b.Digest + `"`})
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,8 +5,11 @@
 	"streamcleat/internal/dispatch"
 )
 
-// Results receives the ends of exchanges. Its methods may call SendAttempt, SendLoad and Abandon of the pool.
+// Results receives the ends of exchanges. Its methods may call SendAttempt, SendLoad and Abandon of the pool, except for
+// Clear, which calls nothing of the pool.
 type Results interface {
+	// Clear decides whether an attempt or a load command may be written now.
+	Clear(id uint64, isLoad bool) dispatch.Clearance
 	OnAttemptReply(id uint64, reply dispatch.WorkerReply)
 	OnLoadReply(id uint64, outcome control.Outcome, replicas int)
 }
@@ -14,11 +17,12 @@
 // Exchange is one attempt or load command, from the call that hands it to a pool until its end is reported. The pool
 // of each protocol embeds it in its own type.
 type Exchange struct {
-	ID      uint64 // the dispatcher's number of the attempt or load command
-	Worker  control.WorkerID
-	IsLoad  bool   // a load command; an attempt otherwise
-	Request []byte // encoded; nil once it was written
-	Sent    bool   // bytes of it may have reached the worker
+	ID     uint64 // the dispatcher's number of the attempt or load command
+	Worker control.WorkerID
+	IsLoad bool // a load command; an attempt otherwise
+	Sent   bool // bytes of it may have reached the worker
+	// Encode makes the request's bytes; nil once it was written.
+	Encode func(clearance dispatch.Clearance) []byte
 }
 
 func (e *Exchange) exchange() *Exchange { return e }
@@ -29,19 +33,18 @@
 	exchange() *Exchange
 }
 
-// Write writes the request to a connection. From now on the worker may run it.
-func (e *Exchange) Write(transport Transport, connection ConnID) {
-	e.Sent = true
-	transport.Write(connection, e.Request)
-	e.Request = nil
-}
-
 // Exchanges is the registry of the exchanges that are open in one pool. Each is reported to Results once, unless it is
 // removed before. The zero value is not usable; NewExchanges makes one.
 type Exchanges[E anyExchange] struct {
 	results Results
 	open    map[uint64]E
-	unsent  []E // could not be sent, reported at the next Flush
+	unsent  []unsentExchange[E] // could not be sent, reported at the next Flush
+}
+
+// unsentExchange is an exchange that ended before anything of it was written.
+type unsentExchange[E anyExchange] struct {
+	exchange E
+	outcome  control.Outcome
 }
 
 // NewExchanges makes an empty registry that reports to results.
@@ -64,9 +67,26 @@
 // Remove drops an exchange without a report.
 func (x *Exchanges[E]) Remove(e E) { delete(x.open, e.exchange().ID) }
 
+// Write writes a request to a connection if it may still be sent; from then on the worker may run it. Where it may not,
+// it returns false, and the exchange is reported as not sent at the next Flush.
+func (x *Exchanges[E]) Write(e E, transport Transport, connection ConnID) bool {
+	base := e.exchange()
+	clearance := x.results.Clear(base.ID, base.IsLoad)
+	if !clearance.Granted() {
+		x.unsent = append(x.unsent, unsentExchange[E]{e, control.NotSent})
+		return false
+	}
+	base.Sent = true
+	transport.Write(connection, base.Encode(clearance))
+	base.Encode = nil
+	return true
+}
+
 // FailUnsent notes an exchange that can't be sent. It is reported as unreachable at the next Flush and not from within
 // the call that asked for it.
-func (x *Exchanges[E]) FailUnsent(e E) { x.unsent = append(x.unsent, e) }
+func (x *Exchanges[E]) FailUnsent(e E) {
+	x.unsent = append(x.unsent, unsentExchange[E]{e, control.Unreachable})
+}
 
 // Pending reports whether Flush has something to report.
 func (x *Exchanges[E]) Pending() bool { return len(x.unsent) > 0 }
@@ -76,8 +96,8 @@
 	for len(x.unsent) > 0 {
 		batch := x.unsent
 		x.unsent = nil
-		for _, e := range batch {
-			x.Finish(e, dispatch.WorkerReply{Outcome: control.Unreachable}, 0)
+		for _, unsent := range batch {
+			x.Finish(unsent.exchange, dispatch.WorkerReply{Outcome: unsent.outcome}, 0)
 		}
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -100,14 +100,16 @@
 
 // SendAttempt sends an attempt over an idle connection or a new one.
 func (p *Pool) SendAttempt(now float64, a dispatch.Attempt) {
-	request := InferRequest(p.addresses[a.Worker], p.limits.Via, a)
-	p.send(now, &httpExchange{Exchange: Exchange{ID: a.ID, Worker: a.Worker, Request: request}})
+	addr := p.addresses[a.Worker]
+	encode := func(clearance dispatch.Clearance) []byte { return InferRequest(addr, p.limits.Via, clearance, a) }
+	p.send(now, &httpExchange{Exchange: Exchange{ID: a.ID, Worker: a.Worker, Encode: encode}})
 }
 
 // SendLoad sends a load command likewise.
 func (p *Pool) SendLoad(now float64, command dispatch.LoadCommand) {
-	request := LoadRequest(p.addresses[command.Worker], p.limits.Via, command)
-	p.send(now, &httpExchange{Exchange: Exchange{ID: command.ID, Worker: command.Worker, IsLoad: true, Request: request},
+	addr := p.addresses[command.Worker]
+	encode := func(dispatch.Clearance) []byte { return LoadRequest(addr, p.limits.Via, command) }
+	p.send(now, &httpExchange{Exchange: Exchange{ID: command.ID, Worker: command.Worker, IsLoad: true, Encode: encode},
 		digest: command.Binding.Digest})
 }
 
@@ -121,7 +123,7 @@
 	if idle := p.idle[e.Worker]; len(idle) > 0 {
 		c := idle[len(idle)-1]
 		p.idle[e.Worker] = idle[:len(idle)-1]
-		p.write(c, e)
+		p.write(now, c, e)
 		return
 	}
 	if len(p.connections.Of(e.Worker)) >= p.limits.MaxPerWorker {
@@ -134,9 +136,23 @@
 	p.connections.Dial(now, c, e.Worker, addr)
 }
 
-func (p *Pool) write(c *httpConnection, e *httpExchange) {
+// write writes an exchange to a connection that has none, or leaves the connection idle where that must not leave now.
+func (p *Pool) write(now float64, c *httpConnection, e *httpExchange) {
+	if !p.exchanges.Write(e, p.transport, c.ID) {
+		c.exchange, e.connection = nil, nil
+		p.setIdle(now, c)
+		return
+	}
 	c.exchange, e.connection = e, c
-	e.Write(p.transport, c.ID)
+}
+
+// WaitingFor is the attempt that waits for the dial of a connection, if one does.
+func (p *Pool) WaitingFor(id ConnID) []uint64 {
+	c := p.connections.Get(id)
+	if c == nil || c.Established || c.exchange == nil || c.exchange.IsLoad {
+		return nil
+	}
+	return []uint64{c.exchange.ID}
 }
 
 // Pending reports whether Flush has something to report.
@@ -158,7 +174,7 @@
 	case c.exchange == nil:
 		p.setIdle(now, c)
 	default:
-		p.write(c, c.exchange)
+		p.write(now, c, c.exchange)
 	}
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -12,6 +12,9 @@
 	"streamcleat/internal/http1"
 )
 
+// usualTimeLeft is the time in seconds that the client of an attempt waits when it is written.
+const usualTimeLeft = 2
+
 // fakePeer stands in for the sockets and the dispatcher of a pool.
 type fakePeer struct {
 	pool     *Pool
@@ -19,6 +22,7 @@
 	written  map[ConnID][]byte
 	closed   map[ConnID]bool
 	outcomes map[uint64][]control.Outcome
+	refused  uint64 // attempt that may not be written
 }
 
 func (w *fakePeer) Dial(c ConnID, _ string)     { w.dials = append(w.dials, c) }
@@ -27,6 +31,15 @@
 func (w *fakePeer) OnAttemptReply(id uint64, r dispatch.WorkerReply) {
 	w.outcomes[id] = append(w.outcomes[id], r.Outcome)
 }
+
+// Clear permits everything but refused, with usualTimeLeft.
+func (w *fakePeer) Clear(id uint64, _ bool) dispatch.Clearance {
+	if id == w.refused {
+		return dispatch.Refuse(dispatch.SendNoWaiter)
+	}
+	return dispatch.Grant(usualTimeLeft)
+}
+
 func (w *fakePeer) OnLoadReply(id uint64, outcome control.Outcome, _ int) {
 	w.outcomes[id] = append(w.outcomes[id], outcome)
 }
@@ -228,6 +241,7 @@
 func (discard) Write(ConnID, []byte)                        {}
 func (discard) Close(ConnID)                                {}
 func (discard) OnAttemptReply(uint64, dispatch.WorkerReply) {}
+func (discard) Clear(uint64, bool) dispatch.Clearance       { return dispatch.Grant(usualTimeLeft) }
 func (discard) OnLoadReply(uint64, control.Outcome, int)    {}
 
 // BenchmarkExchange is one attempt and its reply over a connection that is reused.
@@ -249,3 +263,24 @@
 		pool.OnData(1, 1, reply)
 	}
 }
+
+// What may not leave when its connection is up, or at once, is not written; the connection is idle for the next.
+func TestRefusedAttemptIsNotWritten(t *testing.T) {
+	w := newFakePeer(t)
+	w.refused = 1
+	w.attempt(0, 1)
+	if got := w.pool.WaitingFor(1); len(got) != 1 || got[0] != 1 {
+		t.Error("waiting:", got)
+	}
+	w.pool.OnDialed(0, 1, nil)
+	w.refused = 2
+	w.attempt(0, 2)
+	w.pool.Flush()
+	if len(w.written[1]) > 0 || len(w.dials) != 1 || w.outcomes[1][0] != control.NotSent || w.outcomes[2][0] != control.NotSent {
+		t.Errorf("written %q, %d dials, outcomes %v", w.written[1], len(w.dials), w.outcomes)
+	}
+	w.attempt(0, 3)
+	if len(w.written[1]) == 0 || len(w.dials) != 1 {
+		t.Error("the connection was not used for the next attempt")
+	}
+}
