An event loop of our own in place of gnet's keeps serving where system calls fail

Change: eventloop.reactor over syscalls.Kernel: accept pauses with backoff and evicts an idle client, aborted connections are counted, interrupted calls are made again, short ones go on, registrations and connects that lack a resource are tried again, dials end with their timeout, events of closed sockets are told by ids, posted functions run in batches, turns over 0.1 s are logged. The start waits 5 s for resources. A client whose last response has not left is not evicted. Tests of the address probe and of gnet's first connection are replaced: every connection that comes up from before the start on must be served.

--- a/cmd/streamcleat/node_limits.go
+++ b/cmd/streamcleat/node_limits.go
@@ -27,8 +27,8 @@
 	// that read slowly.
 	minUnreadBytes = 64 << 10
 
-	// Descriptors for the listener, the loop, the journal service, datagrams, dials that hold two, and connections that
-	// are closed as soon as they are accepted: 374 of 384 were seen in use with 24.
+	// Descriptors for the listener, the loop, the journal service, datagrams, dials that were given up and have not ended,
+	// and connections that are closed as soon as they are accepted.
 	reservedDescriptors        = 24
 	reservedDescriptorsDivisor = 16 // one of so many is kept back besides
 	// upstreamDescriptorDivisor gives a third of the other descriptors to connections to workers.
--- a/internal/eventloop/fixture_test.go
+++ b/internal/eventloop/fixture_test.go
@@ -17,6 +17,7 @@
 	"streamcleat/internal/invariants"
 	"streamcleat/internal/proxy"
 	"streamcleat/internal/schedule"
+	"streamcleat/internal/syscalls"
 )
 
 // fixture is a front end with fake workers on loopback.
@@ -31,6 +32,12 @@
 
 // newFixture starts a front end and so many workers; limits are members of the configuration's limits.
 func newFixture(t *testing.T, workers int, limits string) *fixture {
+	t.Helper()
+	return newFixtureOn(t, workers, limits, nil)
+}
+
+// newFixtureOn is newFixture with a kernel of the test's own.
+func newFixtureOn(t *testing.T, workers int, limits string, kernel syscalls.Kernel) *fixture {
 	t.Helper()
 	f := &fixture{t: t, tape: invariants.NewRecorder(), path: filepath.Join(t.TempDir(), "workers.json")}
 	f.startWorkers(workers)
@@ -48,6 +55,7 @@
 	f.server, err = eventloop.Start(eventloop.Settings{
 		Listen:      "127.0.0.1:0",
 		WorkersFile: f.path,
+		Kernel:      kernel,
 		Settings: proxy.Settings{
 			Name:       "front",
 			Dispatch:   c.Dispatch(1),
--- a/internal/eventloop/host.go
+++ b/internal/eventloop/host.go
@@ -26,12 +26,12 @@
 
 // SetTimer implements proxy.Host.
 func (h loopHost) SetTimer(at float64) {
-	h.server.timer.Reset(max(time.Duration((at-Now())*float64(time.Second)), 0))
+	h.server.reactor.tickAt = processStart.Add(time.Duration((at - clockBase) * float64(time.Second)))
 }
 
 // After implements proxy.Host.
 func (h loopHost) After(seconds float64, f func()) {
-	time.AfterFunc(time.Duration(seconds*float64(time.Second)), func() { h.Post(f) })
+	h.server.reactor.after(time.Duration(seconds*float64(time.Second)), f)
 }
 
 // Post implements proxy.Host.
@@ -40,7 +40,5 @@
 // Broadcast implements proxy.Host.
 func (h loopHost) Broadcast(datagram []byte) { h.server.peers.send(datagram) }
 
-// Dial implements proxy.Host. It connects off the loop, so that a worker that does not answer holds nobody up.
-func (h loopHost) Dial(id upstream.ConnID, addr string) {
-	h.server.background.Go(func() { h.server.dial(id, addr) })
-}
+// Dial implements proxy.Host.
+func (h loopHost) Dial(id upstream.ConnID, addr string) { h.server.startDial(id, addr) }
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -3,114 +3,138 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
 	"golang.org/x/sys/unix"
 
-	"streamcleat/internal/proxy"
+	"streamcleat/internal/syscalls"
 )
 
 const (
-	// ownConnectionTimeout bounds each step of the program's own first connection.
-	ownConnectionTimeout = 5 * time.Second
-	// idleTimer is the time of a timer before the proxy first sets it.
-	idleTimer = time.Hour
+	// listenBacklog is how many connections may wait to be accepted; the kernel's own limit may be lower.
+	listenBacklog = 4096
+	// maxAcceptsPerTurn is how many connections are accepted before others are served.
+	maxAcceptsPerTurn = 64
+	// Pauses of accepting after it failed for want of a resource double from the first to the longest.
+	firstAcceptPause   = 10 * time.Millisecond
+	longestAcceptPause = 500 * time.Millisecond
+	// startTimeout is for how long the start asks again for a socket where the machine lacks a resource.
+	startTimeout = 5 * time.Second
 )
 
-// probeAddress finds out whether an address is free, and which one port 0 stands for: with ReusePort two programs would
-// share it unseen. The socket of the probe is bound and never listens, so that no client can connect to it and be cut
-// off when it is closed.
-func probeAddress(addr string) (string, error) {
-	tcpAddr, err := net.ResolveTCPAddr("tcp", addr)
+// listener is the socket at which clients connect. Nothing that accept fails with ends it.
+type listener struct {
+	server       *Server
+	fd           int
+	registration *registration // nil before watch, and once it is closed
+	pause        time.Duration // after the last failure; 0: the last accept did not fail
+}
+
+// openListener binds an address, and tells which one port 0 stands for. Nobody can connect before listen.
+func openListener(kernel syscalls.Kernel, address string) (l *listener, bound string, err error) {
+	tcpAddr, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
-		return "", err
+		return nil, "", err
+	}
+	if tcpAddr.IP == nil {
+		tcpAddr.IP = net.IPv4zero
 	}
-	family, sockaddr := socketAddress(tcpAddr)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	family, sockaddr, err := socketAddress(tcpAddr.AddrPort())
 	if err != nil {
-		return "", os.NewSyscallError("socket", err)
+		return nil, "", err
 	}
-	defer func() { _ = unix.Close(fd) }() // nothing was written to it
-	// Connections of an earlier process may linger. Without the option the bind below fails and tells more.
-	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err := unix.Bind(fd, sockaddr); err != nil {
-		return "", os.NewSyscallError("bind", err)
+	fd, err := kernel.Socket(family)
+	if err != nil {
+		return nil, "", os.NewSyscallError("socket", err)
 	}
-	if tcpAddr.Port == 0 {
-		if tcpAddr.Port, err = boundPort(fd); err != nil {
-			return "", err
-		}
+	if err := kernel.Bind(fd, sockaddr); err != nil {
+		return nil, "", errors.Join(os.NewSyscallError("bind", err), kernel.Close(fd))
 	}
-	return tcpAddr.String(), nil
+	local, err := unix.Getsockname(fd)
+	if err != nil {
+		return nil, "", errors.Join(os.NewSyscallError("getsockname", err), kernel.Close(fd))
+	}
+	return &listener{fd: fd}, socketPeer(local).String(), nil
 }
 
-// socketAddress is an address as the kernel takes it. Without an IP it is any IPv4 address.
-func socketAddress(addr *net.TCPAddr) (family int, sockaddr unix.Sockaddr) {
-	if ip := addr.IP.To4(); ip != nil || addr.IP == nil {
-		v4 := &unix.SockaddrInet4{Port: addr.Port}
-		copy(v4.Addr[:], ip)
-		return unix.AF_INET, v4
+// retryExhausted makes calls again that fail because the machine lacks a resource at the moment, for startTimeout.
+func retryExhausted(call func() error) error {
+	for end := time.Now().Add(startTimeout); ; time.Sleep(retryPause) {
+		err := call()
+		class := syscalls.ClassOf(err)
+		if err == nil || class != syscalls.Exhausted && class != syscalls.Interrupted || time.Now().After(end) {
+			return err
+		}
 	}
-	v6 := &unix.SockaddrInet6{Port: addr.Port}
-	copy(v6.Addr[:], addr.IP.To16())
-	return unix.AF_INET6, v6
 }
 
-// boundPort is the port that the kernel chose for a socket.
-func boundPort(fd int) (int, error) {
-	sockaddr, err := unix.Getsockname(fd)
-	if err != nil {
-		return 0, os.NewSyscallError("getsockname", err)
+// listen lets clients connect from now on, and accepts them on the loop of a server.
+func (l *listener) listen(s *Server) error {
+	if err := s.kernel.Listen(l.fd, listenBacklog); err != nil {
+		return os.NewSyscallError("listen", err)
 	}
-	switch bound := sockaddr.(type) {
-	case *unix.SockaddrInet4:
-		return bound.Port, nil
-	case *unix.SockaddrInet6:
-		return bound.Port, nil
-	}
-	return 0, nil
+	l.server = s
+	l.registration = s.reactor.register(l.fd, readEvents, l)
+	return nil
 }
 
-// openOwnConnection makes gnet hand out the event loop, which it does with a connection only: the first one that comes
-// in will do, and this is one if there is no other. It is a client that sends nothing and leaves.
-func (s *Server) openOwnConnection() {
-	if s.settings.holdOwnConnection != nil {
-		select {
-		case <-s.settings.holdOwnConnection:
-		case <-s.backgroundCtx.Done():
-			return
+// onEvents implements eventHandler: it accepts what waits, within bounds.
+func (l *listener) onEvents(uint32) {
+	for range maxAcceptsPerTurn {
+		if l.registration == nil {
+			return // closed by what a connection brought
 		}
-	}
-	dialer := net.Dialer{Timeout: ownConnectionTimeout}
-	conn, err := dialer.DialContext(s.backgroundCtx, "tcp", s.settings.Listen)
-	if err == nil {
-		defer func() { _ = conn.Close() }() // nothing was written to it
-		select {
-		case <-s.begun:
+		fd, peer, err := l.server.kernel.Accept(l.fd)
+		if err == nil {
+			l.pause = 0
+			l.server.onAccepted(fd, socketPeer(peer))
+			continue
+		}
+		switch syscalls.ClassOfAccept(err) {
+		case syscalls.Interrupted:
+		case syscalls.PeerGone:
+			l.server.counters.abortedConnections.Add(1)
+		case syscalls.WouldBlock:
+			return
+		default:
+			l.pauseAccepting(err)
 			return
-		case <-time.After(ownConnectionTimeout):
-			err = errors.New("its first connection does not come up")
 		}
 	}
-	select {
-	case s.started <- err:
-	default:
-	}
 }
 
-// begin is called on the event loop with the first connection, which is then served as any other: it may be a
-// client's.
-func (s *Server) begin() {
-	s.timer = time.AfterFunc(idleTimer, func() {
-		s.postIfRunning(func() { s.proxy.Tick() })
+// pauseAccepting leaves connections where they wait for a while, so that what lacks can come back. An idle client makes
+// room where the settings allow that.
+func (l *listener) pauseAccepting(err error) {
+	l.pause = min(max(2*l.pause, firstAcceptPause), longestAcceptPause)
+	s := l.server
+	s.counters.acceptFailures.Add(1)
+	evicted := s.proxy.EvictIdleClient()
+	s.log.Warn("connections are not accepted for a while", "address", s.settings.Listen, "error", err,
+		"seconds", l.pause.Seconds(), "evicted", evicted)
+	s.reactor.watch(l.registration, 0)
+	s.reactor.after(l.pause, func() {
+		if l.registration != nil {
+			s.reactor.watch(l.registration, readEvents)
+		}
 	})
-	s.proxy = proxy.New(s.settings.Settings, loopHost{s})
-	s.unanswered = s.proxy.Unanswered()
-	if s.settings.OnStart != nil {
-		s.settings.OnStart(s.proxy)
+}
+
+// close ends listening. Connections that were not accepted are reset.
+func (l *listener) close() {
+	if l.registration != nil {
+		l.server.reactor.unregister(l.registration)
+		l.registration = nil
+	}
+}
+
+// onAccepted takes a connection into service.
+func (s *Server) onAccepted(fd int, peer netip.AddrPort) {
+	c := &connection{server: s, peer: peer}
+	c.registration = s.reactor.register(fd, readEvents, c)
+	if c.client = s.proxy.Accept(c); c.client == nil {
+		c.Close()
 	}
-	s.background.Go(s.sweep)
-	close(s.begun)
-	s.started <- nil
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -1,7 +1,6 @@
 package eventloop
 
 import (
-	"context"
 	"time"
 
 	"streamcleat/control"
@@ -9,30 +8,18 @@
 	"streamcleat/internal/proxy"
 )
 
-// task is a function as gnet runs it on the loop.
-type task func()
-
-// Run implements gnet.Runnable.
-func (t task) Run(context.Context) error {
-	t()
-	return nil
-}
-
-// post runs f on the event loop, soon. An error tells that the loop has ended.
-func (s *Server) post(f func()) error { return s.loop.Execute(context.Background(), task(f)) }
-
 // postIfRunning runs f on the event loop, soon; it does nothing where the loop has ended.
 func (s *Server) postIfRunning(f func()) {
-	_ = s.post(f) // without the loop there is nobody whom f could tell anything
+	_ = s.reactor.post(f) // without the loop there is nobody whom f could tell anything
 }
 
 // Post runs f with the front end on the event loop, soon. An error tells that the loop has ended.
-func (s *Server) Post(f func(*proxy.Proxy)) error { return s.post(func() { f(s.proxy) }) }
+func (s *Server) Post(f func(*proxy.Proxy)) error { return s.reactor.post(func() { f(s.proxy) }) }
 
 // Do runs f with the front end on the event loop and waits for it. An error tells that the loop has ended.
 func (s *Server) Do(f func(*proxy.Proxy)) error {
 	done := make(chan struct{})
-	err := s.post(func() {
+	err := s.reactor.post(func() {
 		defer close(done)
 		f(s.proxy)
 		s.proxy.Flush()
@@ -104,20 +91,12 @@
 	return asked, err
 }
 
-// sweep has the proxy look at idle and slow connections until the loop ends.
+// sweep has the proxy look at idle and slow connections, and ends dials whose time is up.
 func (s *Server) sweep() {
-	ticker := time.NewTicker(time.Duration(proxy.SweepEvery * float64(time.Second)))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-s.loopEnded:
-			return
-		}
-		if s.post(s.proxy.Sweep) != nil {
-			return
-		}
-	}
+	now := time.Now()
+	s.reactor.sweepAt = now.Add(time.Duration(proxy.SweepEvery * float64(time.Second)))
+	s.expireDials(now)
+	s.proxy.Sweep()
 }
 
 // readEndpointList takes the content of the endpoint list's file; a faulty one leaves the last good one in force.
--- a/internal/eventloop/peers.go
+++ b/internal/eventloop/peers.go
@@ -16,12 +16,12 @@
 	receiveRetryPause = 10 * time.Millisecond
 )
 
-// peerSockets is the datagram socket to the other front ends. Where this front end's own address is known, the socket
-// receives too; else gnet listens for datagrams.
+// peerSockets is the datagram socket to the other front ends.
 type peerSockets struct {
-	conn    *net.UDPConn            // nil: nothing is sent
-	targets []netip.AddrPort        // that datagrams are sent to
-	senders map[netip.AddrPort]bool // that datagrams are taken from; nil: gnet listens and takes anybody's
+	conn     *net.UDPConn            // nil: nothing is sent or received
+	receives bool                    // it is bound to the address at which the others send
+	targets  []netip.AddrPort        // that datagrams are sent to
+	senders  map[netip.AddrPort]bool // that datagrams are taken from; nil: anybody's are
 }
 
 // openPeerSockets resolves the peers' addresses and opens the socket, where one is needed.
@@ -30,17 +30,22 @@
 	if err := peers.resolve(settings); err != nil {
 		return nil, err
 	}
-	if len(peers.targets) == 0 && peers.senders == nil {
+	peers.receives = settings.PeerListen != ""
+	if len(peers.targets) == 0 && !peers.receives {
 		return peers, nil
 	}
 	var local *net.UDPAddr
-	var err error
-	if peers.senders != nil {
+	if peers.receives {
+		var err error
 		if local, err = net.ResolveUDPAddr("udp", settings.PeerListen); err != nil {
 			return nil, fmt.Errorf("socket for peers %s: %w", settings.PeerListen, err)
 		}
 	}
-	if peers.conn, err = net.ListenUDP("udp", local); err != nil {
+	err := retryExhausted(func() (err error) {
+		peers.conn, err = net.ListenUDP("udp", local)
+		return err
+	})
+	if err != nil {
 		return nil, fmt.Errorf("socket for peers: %w", err)
 	}
 	return peers, nil
@@ -74,9 +79,6 @@
 	return nil
 }
 
-// ownSocketReceives tells that datagrams come in on this socket and not on gnet's.
-func (p *peerSockets) ownSocketReceives() bool { return p.senders != nil }
-
 // send sends a datagram to every peer.
 func (p *peerSockets) send(datagram []byte) {
 	for _, target := range p.targets {
@@ -103,7 +105,7 @@
 			time.Sleep(receiveRetryPause)
 			continue
 		}
-		if !s.peers.senders[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
+		if s.peers.senders != nil && !s.peers.senders[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
 			continue
 		}
 		data := bytes.Clone(buffer[:n])
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -53,7 +53,7 @@
 
 // Accept takes a client's connection. It returns nil where there is no room for it; the host closes it then.
 func (p *Proxy) Accept(conn Conn) *Client {
-	if p.draining || len(p.clients) >= p.settings.MaxClients && !p.evictIdleClient() {
+	if p.draining || len(p.clients) >= p.settings.MaxClients && !p.EvictIdleClient() {
 		return nil
 	}
 	client := &Client{conn: conn, index: len(p.clients), waiters: map[uint64]dispatch.WaiterID{}}
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -1,9 +1,9 @@
 package proxy
 
-// evictIdleClient closes the client connection that has been idle longest and tells whether there was one. A
-// connection with a request open, or on which a part of one came, is never closed; nor is one on which a request lies
-// unread, which closing would cut off.
-func (p *Proxy) evictIdleClient() bool {
+// EvictIdleClient closes the client connection that has been idle longest, where the settings allow it, and tells
+// whether there was one. A connection with a request open, or on which a part of one came, is never closed; nor is one on
+// which a request lies unread, or whose last response has not left, which closing would cut off.
+func (p *Proxy) EvictIdleClient() bool {
 	for p.settings.EvictIdleClients {
 		oldest, idleSince := p.longestIdleClient()
 		if oldest == nil {
@@ -22,7 +22,7 @@
 // longestIdleClient returns the client that has been idle longest, nil where none is idle.
 func (p *Proxy) longestIdleClient() (oldest *Client, idleSince float64) {
 	for _, client := range p.clients {
-		if since, idle := client.session.Idle(); idle && (oldest == nil || since < idleSince) {
+		if since, idle := client.session.Idle(); idle && client.conn.Unsent() == 0 && (oldest == nil || since < idleSince) {
 			oldest, idleSince = client, since
 		}
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -53,5 +53,10 @@
 	})
 }
 
+// AllSent tells that the kernel has taken all that was written to clients.
+func (p *Proxy) AllSent() bool {
+	return !slices.ContainsFunc(p.clients, func(client *Client) bool { return client.conn.Unsent() > 0 })
+}
+
 // HasClients tells that some client may not have read all of its responses.
 func (p *Proxy) HasClients() bool { return len(p.clients) > 0 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,10 +1,16 @@
 package upstream
 
 import (
+	"errors"
+
 	"streamcleat/control"
 	"streamcleat/internal/dispatch"
 )
 
+// ErrLocal is wrapped by the error of a dial that failed because this machine lacked a resource: it says nothing of the
+// worker.
+var ErrLocal = errors.New("this machine lacks a resource")
+
 // Results receives the ends of exchanges. Its methods may call SendAttempt, SendLoad and Abandon of the pool, except for
 // Clear, which calls nothing of the pool.
 type Results interface {
