--- a/cmd/streamcleat/node_process_test.go
+++ b/cmd/streamcleat/node_process_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // freeAddresses are loopback addresses that nobody uses at the moment.
@@ -33,22 +36,30 @@
 
 // nodeProcess is a front end as a process of its own.
 type nodeProcess struct {
-	process *os.Process
-	stderr  bytes.Buffer // to be read once it has ended
-	done    chan error
+	process      *os.Process
+	documentPath string
+	stderr       bytes.Buffer // to be read once it has ended
+	done         chan error
 }
 
 // startNodeProcess runs a front end under a limit of descriptors and waits until it listens.
 func startNodeProcess(t *testing.T, document, addr string, descriptors int) *nodeProcess {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(document), 0o600); err != nil {
+	node := &nodeProcess{done: make(chan error, 1)}
+	node.start(t, document, addr, fmt.Sprintf("ulimit -n %d; exec streamcleat node", descriptors), &node.stderr)
+	return node
+}
+
+// start runs a front end by a shell's command and waits until it listens.
+func (node *nodeProcess) start(t *testing.T, document, addr, command string, stderr io.Writer) {
+	t.Helper()
+	node.documentPath = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(node.documentPath, []byte(document), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec streamcleat node", descriptors))
-	cmd.Env = append(os.Environ(), documentVariable+"="+path)
-	node := &nodeProcess{done: make(chan error, 1)}
-	cmd.Stderr = &node.stderr
+	cmd := exec.Command("sh", "-c", command)
+	cmd.Env = append(os.Environ(), documentVariable+"="+node.documentPath)
+	cmd.Stderr = stderr
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -62,7 +73,6 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return node
 }
 
 // dialSilently opens connections on which nothing is sent, as many as come up.
@@ -159,3 +169,57 @@
 	}
 	waitForExit(t, node.done)
 }
+
+// startWithLogReader runs a front end that logs much, and returns it with the end of the pipe that its log can be read
+// from. The pipe holds little.
+func startWithLogReader(t *testing.T, f *nodeFixture) (node *nodeProcess, addr string, logs *os.File) {
+	t.Helper()
+	logs, stderr, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, logs)
+	if _, err := unix.FcntlInt(stderr.Fd(), unix.F_SETPIPE_SZ, 4096); err != nil {
+		t.Fatal(err)
+	}
+	addrs := freeAddresses(t, 2)
+	node = &nodeProcess{done: make(chan error, 1)}
+	document := documentText(addrs[0], addrs[1], f.worker.Addr().String(), 256)
+	node.start(t, document, addrs[0], "exec streamcleat node --log debug --log-rate 100000", stderr)
+	if err := stderr.Close(); err != nil {
+		t.Error(err)
+	}
+	return node, addrs[0], logs
+}
+
+// Whoever reads the log may stop reading, or go away: service goes on.
+func TestProcessOutlivesItsLogReader(t *testing.T) {
+	t.Parallel()
+	for name, leave := range map[string]func(t *testing.T, logs *os.File){
+		"stops reading": func(*testing.T, *os.File) {},
+		"goes away": func(t *testing.T, logs *os.File) {
+			if err := logs.Close(); err != nil {
+				t.Error(err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newWorkerFixture(t)
+			node, addr, logs := startWithLogReader(t, f)
+			leave(t, logs)
+			client := dialNode(t, addr)
+			for n := range 60 { // far more than the pipe holds is logged
+				body := fmt.Sprint("number ", n)
+				client.send(body)
+				if got := client.receive(); !strings.Contains(got, body) {
+					t.Fatal(n, got)
+				}
+			}
+			if err := node.process.Signal(syscall.SIGTERM); err != nil {
+				t.Error(err)
+			}
+			waitForExit(t, node.done)
+		})
+	}
+}
--- a/cmd/streamcleat/node_runtime.go
+++ b/cmd/streamcleat/node_runtime.go
@@ -33,13 +33,11 @@
 // startNode wires one front end of the platform: its sockets, the dispatcher, and the journal service's updates.
 func startNode(document *platform.Document, log *slog.Logger) (*nodeRuntime, error) {
 	n := &nodeRuntime{document: document, log: log}
-	// The workers' starts are Unix times in the journal, and on the event loop's clock in the endpoint list.
-	clockOffset := eventloop.Now() - float64(time.Now().UnixNano())/1e9
 	journal := document.Discovery
 	settings := n.serverSettings()
 	// The list of the start is in force before a client's first byte is read: nothing waits for the watch.
 	settings.OnStart = func(p *proxy.Proxy) {
-		p.SetEndpointList(journal.EndpointList(clockOffset))
+		p.SetEndpointList(journal.EndpointList(eventloop.Now(), unixSeconds(time.Now())))
 		n.ready.Store(true)
 	}
 	var err error
@@ -49,7 +47,7 @@
 	takeLine := func(line []byte) error {
 		changed, err := journal.ReadLine(line)
 		if changed {
-			list := journal.EndpointList(clockOffset)
+			list := journal.EndpointList(eventloop.Now(), unixSeconds(time.Now()))
 			// A loop that has ended needs no list; serve tells of its end.
 			_ = n.server.Post(func(p *proxy.Proxy) { p.SetEndpointList(list) })
 		}
@@ -59,6 +57,9 @@
 	return n, nil
 }
 
+// unixSeconds is a time of day as workers state their starts.
+func unixSeconds(at time.Time) float64 { return float64(at.UnixNano()) / float64(time.Second) }
+
 // serverSettings are those of the front end's sockets and of the proxy on them.
 func (n *nodeRuntime) serverSettings() eventloop.Settings {
 	document := n.document
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -14,8 +14,10 @@
 
 // Discovery is the list of workers as the numbered watch events of the discovery service make it.
 type Discovery struct {
-	position int64
-	hosts    []host // in the order they were first named
+	position    int64
+	hosts       []host  // in the order they were first named
+	clockOffset float64 // from Unix seconds to the caller's clock
+	clockKnown  bool
 }
 
 // States of a worker as the service names them.
@@ -145,12 +147,15 @@
 	}
 }
 
-// EndpointList is the list in force. Offset is added to Unix seconds, which makes start times those of the caller's
-// clock. It must stay the same: a worker whose start time changes counts as restarted.
-func (d *Discovery) EndpointList(offset float64) *upstream.EndpointList {
+// EndpointList is the list in force, with the starts of workers on the caller's clock. It is called with that clock's
+// time and the time of day in Unix seconds.
+func (d *Discovery) EndpointList(now, wall float64) *upstream.EndpointList {
+	if !d.clockKnown {
+		d.clockOffset, d.clockKnown = now-wall, true
+	}
 	list := &upstream.EndpointList{Addresses: make(map[control.WorkerID]string, len(d.hosts))}
 	for _, h := range d.hosts {
-		worker := h.worker(offset)
+		worker := h.worker(d.clockOffset)
 		list.Addresses[worker.ID] = h.Dial
 		list.Workers = append(list.Workers, worker)
 	}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -41,7 +41,7 @@
 	} {
 		changed, err := discovery.ReadLine([]byte(c.line))
 		var names []string
-		for _, worker := range discovery.EndpointList(0).Workers {
+		for _, worker := range discovery.EndpointList(0, 0).Workers {
 			names = append(names, fmt.Sprintf("%s%d", worker.ID, worker.State))
 		}
 		if changed != c.changed || (err != nil) != c.fails || strings.Join(names, " ") != c.names {
@@ -64,7 +64,7 @@
 	if _, err := discovery.ReadLine(hostLine(1, true, worker("a", "10.0.0.1:9", "active", 5000))); err != nil {
 		t.Fatal(err)
 	}
-	l := discovery.EndpointList(100)
+	l := discovery.EndpointList(1000, 900)
 	want := control.Worker{ID: "a", Zone: "east", MachineType: "std", FailureDomain: 2, Weight: 4, StartedAt: 105}
 	if l.Workers[0] != want || l.Addresses["a"] != "10.0.0.1:9" {
 		t.Errorf("%+v", l)
@@ -77,7 +77,7 @@
 	f.Fuzz(func(t *testing.T, line []byte) {
 		discovery := NewDiscovery()
 		changed, err := discovery.ReadLine(line)
-		if l := discovery.EndpointList(0); err != nil && (changed || discovery.Position() != 0) || len(l.Workers) != len(l.Addresses) {
+		if l := discovery.EndpointList(0, 0); err != nil && (changed || discovery.Position() != 0) || len(l.Workers) != len(l.Addresses) {
 			t.Errorf("%v, %v: %+v", changed, err, l)
 		}
 	})
