Starts of workers outlive stepped clocks; the log never holds up or ends the process

Cause: startNode took the offset between clocks once and EndpointList applied it to every born_ms without a clamp; slog wrote to standard error on the event loop, and SIGPIPE on descriptor 2 ends a Go process. Change: upstream.StartClock, asked once for each stated start by Discovery and by the proxy's own list, takes the later of the two starts that the readings allow, and none in the future. telemetry.AsyncWriter with a bounded queue writes the log of node and serve; SIGPIPE is ignored there.

--- a/cmd/streamcleat/main.go
+++ b/cmd/streamcleat/main.go
@@ -26,7 +26,9 @@
 	defer stop()
 	err := rootCommand().ExecuteContext(ctx)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "streamcleat:", err)
+		stderr, closeLog := openLog()
+		_, _ = fmt.Fprintln(stderr, "streamcleat:", err) // it never fails
+		closeLog()
 	}
 	return exitStatus(err)
 }
--- a/cmd/streamcleat/node.go
+++ b/cmd/streamcleat/node.go
@@ -33,7 +33,9 @@
 			"SIGTERM takes events for as long as they may still come, answers all that is open and ends with status 0.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+			stderr, closeLog := openLog()
+			defer closeLog()
+			handler := slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})
 			return runNode(cmd.Context(), slog.New(telemetry.RateLimited(handler, rate)))
 		},
 	}
--- a/cmd/streamcleat/serve.go
+++ b/cmd/streamcleat/serve.go
@@ -55,7 +55,9 @@
 		<-signals
 		close(abort)
 	}()
-	return appliance.Run(ctx, c, c.Logger(os.Stderr), abort, func(addresses []string) {
+	stderr, closeLog := openLog()
+	defer closeLog()
+	return appliance.Run(ctx, c, c.Logger(stderr), abort, func(addresses []string) {
 		for _, address := range addresses {
 			fmt.Printf("front end listens on %s\n", address)
 		}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -14,12 +14,25 @@
 
 // Discovery is the list of workers as the numbered watch events of the discovery service make it.
 type Discovery struct {
-	position    int64
-	hosts       []host  // in the order they were first named
-	clockOffset float64 // from Unix seconds to the caller's clock
-	clockKnown  bool
+	position int64
+	hosts    []host // in the order they were first named
+	starts   startTimes
 }
 
+// startTimes are the starts of workers on the caller's clock, as they were first heard of.
+type startTimes struct {
+	clock upstream.StartClock
+	known map[startKey]float64
+}
+
+// startKey is a start as the service states it: of a worker with the same name another one is another process.
+type startKey struct {
+	host   string
+	bornMs float64
+}
+
+const millisecondsPerSecond = 1000
+
 // States of a worker as the service names them.
 const (
 	healthActive  = "active"
@@ -150,19 +163,26 @@
 // EndpointList is the list in force, with the starts of workers on the caller's clock. It is called with that clock's
 // time and the time of day in Unix seconds.
 func (d *Discovery) EndpointList(now, wall float64) *upstream.EndpointList {
-	if !d.clockKnown {
-		d.clockOffset, d.clockKnown = now-wall, true
-	}
+	known := make(map[startKey]float64, len(d.starts.known))
 	list := &upstream.EndpointList{Addresses: make(map[control.WorkerID]string, len(d.hosts))}
 	for _, h := range d.hosts {
-		worker := h.worker(d.clockOffset)
+		worker := h.worker()
+		if h.BornMs > 0 {
+			key := startKey{h.Host, h.BornMs}
+			startedAt, heard := d.starts.known[key]
+			if !heard {
+				startedAt = d.starts.clock.StartedAt(h.BornMs/millisecondsPerSecond, now, wall)
+			}
+			known[key], worker.StartedAt = startedAt, startedAt
+		}
 		list.Addresses[worker.ID] = h.Dial
 		list.Workers = append(list.Workers, worker)
 	}
+	d.starts.known = known // of workers that are gone none is kept
 	return list
 }
 
-func (h *host) worker(offset float64) control.Worker {
+func (h *host) worker() control.Worker {
 	worker := control.Worker{ID: control.WorkerID(h.Host), Zone: control.ZoneID(h.Site),
 		MachineType: control.MachineType(h.Class), FailureDomain: h.Block, Weight: 1}
 	if h.Share != nil {
@@ -171,8 +191,5 @@
 	if h.Health == healthLeaving {
 		worker.State = control.Draining
 	}
-	if h.BornMs > 0 {
-		worker.StartedAt = h.BornMs/1000 + offset
-	}
 	return worker
 }
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -17,9 +17,10 @@
 
 // endpointState is the list of workers: as its source tells it, and as orders to drain change it.
 type endpointState struct {
-	configured   *upstream.EndpointList       // as read last; nil before the first
-	active       *upstream.EndpointList       // in force
-	clockOffset  float64                      // from Unix seconds to the host's clock, at the last reading
+	configured   *upstream.EndpointList // as read last; nil before the first
+	active       *upstream.EndpointList // in force
+	clockOffset  float64                // from Unix seconds to the host's clock, at the last reading
+	startClock   upstream.StartClock
 	statedStarts map[control.WorkerID]float64 // starts of workers in Unix seconds, as read
 	readAt       float64                      // time of the last reading, on the host's clock
 	drained      map[control.WorkerID]bool    // by order
@@ -65,7 +66,7 @@
 		worker := &list.Workers[i]
 		if worker.StartedAt > 0 {
 			stated[worker.ID] = worker.StartedAt - e.clockOffset
-			worker.StartedAt = min(worker.StartedAt, now)
+			worker.StartedAt = e.startClock.StartedAt(stated[worker.ID], now, now-e.clockOffset)
 		}
 		old, known := previous[worker.ID]
 		switch difference := stated[worker.ID] - e.statedStarts[worker.ID]; {
