A soak over real processes, judged by the invariants; it finds deadlines of unread requests

Cause: nothing played the whole front end as processes under overlapping troubles. Change: internal/soak and the soak command: 24 front ends, 12 workers, a discovery service and clients on loopback, twelve kinds of trouble from a seed, three at a time; built with the tag faults, system calls fail too. The invariants check the deadline that an attempt states.

--- a/cmd/streamcleat/main.go
+++ b/cmd/streamcleat/main.go
@@ -45,7 +45,8 @@
 	root.AddCommand(serveCommand(), checkCommand(), schemaCommand(), nodeCommand())
 	root.AddCommand(boxCommands()...)
 	root.AddCommand(handlerCommand())
-	root.AddCommand(fakeCommand("fake"), scenarioCommand("scenario"), simulateCommand(), verifyCommand("verify"), benchCommand())
+	root.AddCommand(fakeCommand("fake"), scenarioCommand("scenario"), simulateCommand(), verifyCommand("verify"), benchCommand(),
+		soakCommand())
 	root.AddCommand(deprecated(fakeCommand("standin"), "fake"), deprecated(scenarioCommand("drill"), "scenario"),
 		deprecated(verifyCommand("referee"), "verify"), deprecated(suspendCommand("hold"), "suspend"))
 	return root
--- a/cmd/streamcleat/node_runtime.go
+++ b/cmd/streamcleat/node_runtime.go
@@ -70,6 +70,7 @@
 		PeerListen:    document.PeerListen,
 		Peers:         document.Peers,
 		PeerBroadcast: document.PeerBroadcast,
+		Kernel:        nodeKernel(),
 	}
 	if document.PeerListen != "" && document.Terms.FrontEndIndex < len(document.Peers) {
 		settings.Self = document.Peers[document.Terms.FrontEndIndex]
--- a/cmd/streamcleat/send_gate_test.go
+++ b/cmd/streamcleat/send_gate_test.go
@@ -159,6 +159,33 @@
 	return <-accepted
 }
 
+// A request that lay unread while the process was held up has that much less time: the deadline that is passed on is what
+// its client has left.
+func TestDeadlineCountsTheTimeUnread(t *testing.T) {
+	t.Parallel()
+	const timeout, slack, held = 1500 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond
+	f := newWorkerFixture(t)
+	budgets := make(chan time.Duration, 4)
+	f.handleWorkerConnections(func(conn net.Conn) {
+		f.serveOneAttempt(conn, func(frame workerFrame) { budgets <- statedBudget(t, frame) })
+	})
+	f.startNode(256, func(text string) string { return text })
+	client := f.dialWarm()
+	if budget := <-budgets; budget > timeout || budget < timeout-slack {
+		t.Errorf("an idle front end states %v of %v", budget, timeout)
+	}
+	release := f.stallLoop()
+	client.send("unread")
+	time.Sleep(held)
+	release()
+	if budget := <-budgets; budget > timeout-held+slack {
+		t.Errorf("the worker is told %v, the client has %v left", budget, timeout-held)
+	}
+	if got := client.receive(); !strings.Contains(got, "unread") {
+		t.Error(got)
+	}
+}
+
 // serveOneAttempt replies to what comes on a connection and shows attempts to the test.
 func (f *nodeFixture) serveOneAttempt(conn net.Conn, show func(frame workerFrame)) {
 	for {
--- /dev/null
+++ b/cmd/streamcleat/soak.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"streamcleat/internal/invariants"
+	"streamcleat/internal/soak"
+)
+
+// errSoakBroken is the error of a soak that broke something.
+var errSoakBroken = errors.New("a rule was broken")
+
+// soakOptions are the flags of the soak command.
+type soakOptions struct {
+	settings   soak.Settings
+	runs       int
+	recordFile string
+	asJSON     bool
+	verbose    bool
+}
+
+// soakCommand runs real processes under troubles from seeds.
+func soakCommand() *cobra.Command {
+	var o soakOptions
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Run front ends as real processes under overlapping troubles and check the rules on what passed on the sockets",
+		Long: "Starts front ends of the platform as processes on loopback, with fake workers, a fake discovery service and clients,\n" +
+			"overlaps troubles that are drawn from a seed (restarts, kills, reloads, pauses, misbehaving workers, discovery, clients\n" +
+			"and log readers) and checks the rules. Built with the tag faults, system calls of the front ends fail too.\n" +
+			"It exits 0 only if nothing was broken.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runSoak(cmd.Context(), &o) },
+	}
+	flags := cmd.Flags()
+	flags.Uint64Var(&o.settings.Seed, "seed", 1, "first seed")
+	flags.IntVar(&o.runs, "seeds", 1, "number of runs, each with the next seed")
+	flags.IntVar(&o.settings.FrontEnds, "front-ends", 24, "number of front ends")
+	flags.IntVar(&o.settings.Workers, "workers", 12, "number of workers at the start")
+	flags.DurationVar(&o.settings.Duration, "duration", 20*time.Second, "time of the load of each run")
+	flags.Float64Var(&o.settings.FaultRate, "fault-rate", 0.001, "part of the system calls that fail, in a build with the tag faults")
+	flags.BoolVar(&o.asJSON, "json", false, "one JSON object for each run")
+	flags.StringVar(&o.recordFile, "record", "", "write what passed on the sockets of the last run to this file, as JSON lines")
+	flags.BoolVarP(&o.verbose, "verbose", "v", false, "print each trouble as it begins")
+	return cmd
+}
+
+func runSoak(ctx context.Context, o *soakOptions) error {
+	var err error
+	if o.settings.Program, err = os.Executable(); err != nil {
+		return err
+	}
+	if o.verbose {
+		o.settings.Log = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+	}
+	broken := false
+	first := o.settings.Seed
+	for run := range o.runs {
+		o.settings.Seed = first + uint64(run)
+		result, records, err := soak.Run(ctx, o.settings)
+		if err != nil {
+			return err
+		}
+		if err := o.report(result, records); err != nil {
+			return err
+		}
+		broken = broken || result.Broken()
+	}
+	if broken {
+		return errSoakBroken
+	}
+	return nil
+}
+
+// report prints a result and keeps its records where that is asked for.
+func (o *soakOptions) report(result *soak.Result, records []invariants.Record) error {
+	if o.recordFile != "" {
+		file, err := os.Create(o.recordFile)
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(invariants.Write(file, records), file.Close()); err != nil {
+			return err
+		}
+	}
+	if o.asJSON {
+		return json.NewEncoder(os.Stdout).Encode(result)
+	}
+	_, err := fmt.Print(result)
+	return err
+}
--- a/internal/invariants/responses.go
+++ b/internal/invariants/responses.go
@@ -21,6 +21,7 @@
 		if r.Kind == AttemptStarted {
 			c.verdict.Attempts++
 			c.checkAttemptIsAwaited(r, byRequest[r.RequestID])
+			c.checkDeadline(r, byRequest[r.RequestID])
 		}
 	}
 }
@@ -112,3 +113,18 @@
 	c.violation(&c.verdict.AttemptsAfterEnd, "after end", "%s reached %s at %.3f, when nobody asked for it", attempt.RequestID,
 		attempt.Worker, attempt.At)
 }
+
+// checkDeadline checks that the time which an attempt states is at most what some client that waits for it has left.
+func (c *checker) checkDeadline(attempt Record, calls []*call) {
+	if c.rules.DeadlineSlack == 0 || attempt.Timeout == 0 || len(calls) == 0 {
+		return
+	}
+	left := 0.0
+	for _, x := range calls {
+		left = max(left, x.request.At+x.request.Timeout-attempt.At)
+	}
+	if attempt.Timeout > left+c.rules.DeadlineSlack {
+		c.violation(&c.verdict.ExcessDeadlines, "deadline", "%s reached %s at %.3f and states %.3f s, its client has %.3f s left",
+			attempt.RequestID, attempt.Worker, attempt.At, attempt.Timeout, left)
+	}
+}
--- a/internal/invariants/rules.go
+++ b/internal/invariants/rules.go
@@ -39,6 +39,9 @@
 	SubmissionDelay float64 `json:"Lag"`
 	// IndependentFrontEnds exempts attempts by different front ends from each other: repeats of a request went to several of them.
 	IndependentFrontEnds bool `json:"Apart"`
+	// DeadlineSlack is by how much the deadline that an attempt states may exceed what its client has left; 0 switches the
+	// check off.
+	DeadlineSlack float64 `json:"DeadlineSlack,omitempty"`
 	// ObservationDelay is the longest time from a front end's sending bytes to the worker's seeing them.
 	ObservationDelay float64 `json:"Grace"`
 }
@@ -55,16 +58,17 @@
 	Attempts        int `json:"launches"`
 	LoadCommands    int `json:"orders"`
 
-	Unanswered          int `json:"unanswered"`       // rule 1: no response at all, or too late
-	DuplicateResponses  int `json:"answers_twice"`    // rule 1: more than one response
-	AttemptsAfterEnd    int `json:"sent_after_end"`   // rule 1: an attempt after the last waiter had its response
-	ConcurrentAttempts  int `json:"launches_at_once"` // rule 2: concurrent attempts of one request
-	DuplicateExecutions int `json:"ran_twice"`        // rule 2: at-most-once, or keyed past the deduplication window
-	WrongRejections     int `json:"bad_deferrals"`    // rule 2: rejected for a retry though it ran and must not run again
-	SentAfterDrain      int `json:"after_drain"`      // rule 3: sent to a draining worker
-	ColdOverloads       int `json:"cold_pushed"`      // rule 4: a cold worker was overloaded
-	ExcessLoadCommands  int `json:"load_floods"`      // rule 5: too many load commands
-	VersionMismatches   int `json:"wrong_versions"`   // another version ran, or was named, than the one asked for
+	Unanswered          int `json:"unanswered"`                 // rule 1: no response at all, or too late
+	DuplicateResponses  int `json:"answers_twice"`              // rule 1: more than one response
+	AttemptsAfterEnd    int `json:"sent_after_end"`             // rule 1: an attempt after the last waiter had its response
+	ExcessDeadlines     int `json:"excess_deadlines,omitempty"` // rule 1: an attempt states more time than its client has left
+	ConcurrentAttempts  int `json:"launches_at_once"`           // rule 2: concurrent attempts of one request
+	DuplicateExecutions int `json:"ran_twice"`                  // rule 2: at-most-once, or keyed past the deduplication window
+	WrongRejections     int `json:"bad_deferrals"`              // rule 2: rejected for a retry though it ran and must not run again
+	SentAfterDrain      int `json:"after_drain"`                // rule 3: sent to a draining worker
+	ColdOverloads       int `json:"cold_pushed"`                // rule 4: a cold worker was overloaded
+	ExcessLoadCommands  int `json:"load_floods"`                // rule 5: too many load commands
+	VersionMismatches   int `json:"wrong_versions"`             // another version ran, or was named, than the one asked for
 
 	RulesBroken int      `json:"rules_broken"`     // of the five rules, and the promise of versions
 	Violations  []string `json:"faults,omitempty"` // the first violations of each kind
@@ -74,7 +78,7 @@
 func (v *Verdict) countBroken() int {
 	broken := 0
 	for _, violations := range []int{
-		v.Unanswered + v.DuplicateResponses + v.AttemptsAfterEnd,
+		v.Unanswered + v.DuplicateResponses + v.AttemptsAfterEnd + v.ExcessDeadlines,
 		v.ConcurrentAttempts + v.DuplicateExecutions + v.WrongRejections,
 		v.SentAfterDrain,
 		v.ColdOverloads,
--- /dev/null
+++ b/internal/soak/frames.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"strings"
+)
+
+// Frames between front ends and workers, as the platform's page has them.
+const (
+	frontEndMark     = 192
+	workerMark       = 193
+	workerHeadSize   = 16
+	workerBodyOffset = 4
+	workerIDOffset   = 8
+	checksumSize     = 4
+
+	commandAttempt = 48
+	commandCancel  = 49
+	commandLoad    = 52
+	commandUnload  = 54
+
+	replySucceeded = 64
+	replyMissing   = 66
+	replyRejected  = 67
+	replyFailed    = 68
+)
+
+// workerFrame is a frame that a front end sent to a worker.
+type workerFrame struct {
+	command byte
+	id      uint64
+	fields  map[string]string
+	body    []byte
+}
+
+// readWorkerFrame reads the next frame of a front end. An error other than the connection's end says what was wrong
+// with it.
+func readWorkerFrame(in io.Reader) (frame workerFrame, err error) {
+	var head [workerHeadSize]byte
+	if _, err := io.ReadFull(in, head[:]); err != nil {
+		return frame, err
+	}
+	if head[0] != frontEndMark {
+		return frame, fmt.Errorf("mark %d", head[0])
+	}
+	fieldsSize := int(binary.BigEndian.Uint16(head[2:]))
+	bodySize := int(binary.BigEndian.Uint32(head[workerBodyOffset:]))
+	payload := make([]byte, fieldsSize+bodySize+checksumSize)
+	if _, err := io.ReadFull(in, payload); err != nil {
+		return frame, err
+	}
+	content := payload[:fieldsSize+bodySize]
+	if crc32.ChecksumIEEE(content) != binary.BigEndian.Uint32(payload[len(content):]) {
+		return frame, fmt.Errorf("checksum of command %d", head[1])
+	}
+	frame = workerFrame{command: head[1], id: binary.BigEndian.Uint64(head[workerIDOffset:]), fields: map[string]string{},
+		body: content[fieldsSize:]}
+	for _, field := range strings.Split(string(content[:fieldsSize]), ",") {
+		name, value, _ := strings.Cut(field, "=")
+		frame.fields[name] = value
+	}
+	return frame, nil
+}
+
+// encodeReply is a worker's reply.
+func encodeReply(code byte, id uint64, fields string, body []byte) []byte {
+	b := binary.BigEndian.AppendUint16([]byte{workerMark, code}, uint16(len(fields)))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	b = binary.BigEndian.AppendUint64(b, id)
+	b = append(append(b, fields...), body...)
+	return binary.BigEndian.AppendUint32(b, crc32.ChecksumIEEE(b[workerHeadSize:]))
+}
+
+// Frames between clients and front ends.
+const (
+	frameRequest        = 1
+	frameResponse       = 2
+	frameCancel         = 3
+	frameReadinessQuery = 4
+	frameReadiness      = 5
+	frameGoAway         = 6
+
+	codeSucceeded = 0
+	codeRejected  = 8
+	codeFailed    = 13
+
+	clientLengthSize = 4
+	clientHeadSize   = 5 // type and stream
+)
+
+// clientField is one named text of a client's frame.
+type clientField struct{ name, value string }
+
+// encodeClientFrame is a frame of a client.
+func encodeClientFrame(kind byte, stream uint32, payload []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(clientHeadSize+len(payload)))
+	b = binary.BigEndian.AppendUint32(append(b, kind), stream)
+	return append(b, payload...)
+}
+
+func encodeFields(fields []clientField) []byte {
+	b := []byte{byte(len(fields))}
+	for _, field := range fields {
+		b = append(append(b, byte(len(field.name))), field.name...)
+		b = append(binary.BigEndian.AppendUint16(b, uint16(len(field.value))), field.value...)
+	}
+	return b
+}
+
+// clientFrame is a frame that a front end sent to a client.
+type clientFrame struct {
+	kind    byte
+	stream  uint32
+	code    byte // of a response or a readiness frame
+	payload []byte
+}
+
+// readClientFrame reads the next frame of a front end.
+func readClientFrame(in io.Reader) (frame clientFrame, err error) {
+	var length [clientLengthSize]byte
+	if _, err := io.ReadFull(in, length[:]); err != nil {
+		return frame, err
+	}
+	data := make([]byte, binary.BigEndian.Uint32(length[:]))
+	if _, err := io.ReadFull(in, data); err != nil {
+		return frame, err
+	}
+	if len(data) < clientHeadSize {
+		return frame, fmt.Errorf("frame of %d bytes", len(data))
+	}
+	frame = clientFrame{kind: data[0], stream: binary.BigEndian.Uint32(data[1:]), payload: data[clientHeadSize:]}
+	if frame.kind == frameResponse || frame.kind == frameReadiness {
+		if len(frame.payload) < 2 {
+			return frame, fmt.Errorf("response of %d bytes", len(frame.payload))
+		}
+		frame.code, frame.payload = frame.payload[0], frame.payload[1:]
+	}
+	return frame, nil
+}
+
+// body is what follows the fields of a response.
+func (f *clientFrame) body() []byte {
+	rest := f.payload
+	count := int(rest[0])
+	rest = rest[1:]
+	for range count {
+		rest = rest[1+int(rest[0]):]
+		rest = rest[2+int(binary.BigEndian.Uint16(rest)):]
+	}
+	return rest
+}
