A request that lay unread has that much less time; the start waits for a busy address

Cause: a request's time was counted from when its bytes were read; a loop that was held up, by its own work or by a process that was stopped, read late and gave the whole time again. Found by the soak (pauses of 0.1 to 0.3 s). Change: reactor.noteWait tells since when input may have waited; where it was more than 50 ms, or a connection waited to be accepted, watched or read, the request is that much older (dispatch.Request.Age), by the kernel's time of the last data where the loop was idle. The start waits 1 s for an address that is in use. Ports of tests and of the soak lie under the system's own (the known 'address already in use' under load was a connection that had the port).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -138,7 +138,7 @@
 	if request.Timeout == 0 || request.Timeout > class.Timeout {
 		request.Timeout = class.Timeout
 	}
-	deadline := d.now + max(request.Timeout-d.settings.ResponseMargin, 0)
+	deadline := d.now + max(request.Timeout-request.Age-d.settings.ResponseMargin, 0)
 	if req := d.openByIdentity[request.Identity]; req != nil {
 		if request.RejectDuplicates {
 			d.refuse(to, request, Rejected, CauseDuplicate)
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -18,7 +18,8 @@
 	Class            string // request class
 	Tenant           string
 	Function         string
-	Timeout          float64 // seconds that the client waits from now on; 0: the timeout of the request class
+	Timeout          float64 // seconds that the client waits from when it sent the request; 0: the timeout of the request class
+	Age              float64 // seconds for which it may have lain unread
 	Fields           []Field // for the worker: context attributes and the content type
 	Body             []byte
 	Retried          bool            // the client marks it as a retry
--- a/internal/eventloop/connection.go
+++ b/internal/eventloop/connection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/netip"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -26,6 +27,8 @@
 	registration *registration // nil once it is closed
 	peer         netip.AddrPort
 	output       []byte          // written and not taken by the kernel yet
+	unreadSince  time.Time       // since when input may have waited though the loop ran; zero: it has not
+	hasRead      bool            // bytes came before
 	client       *proxy.Client   // nil: it is to a worker
 	upstreamID   upstream.ConnID // of a connection to a worker
 }
@@ -49,6 +52,7 @@
 	switch {
 	case err == nil && n > 0:
 		c.onData(buffer[:n])
+		c.unreadSince, c.hasRead = time.Time{}, true
 	case err == nil:
 		c.onEnd(nil)
 	case syscalls.ClassOf(err) == syscalls.WouldBlock:
@@ -72,6 +76,9 @@
 // pauseReading waits a little before it reads again: the kernel lacks memory for it at the moment.
 func (c *connection) pauseReading() {
 	reactor := c.server.reactor
+	if c.unreadSince.IsZero() {
+		c.unreadSince = time.Now()
+	}
 	reactor.watch(c.registration, c.registration.interest&^readEvents)
 	reactor.after(retryPause, func() {
 		if c.isOpen() {
@@ -195,6 +202,21 @@
 // Unsent implements proxy.Conn.
 func (c *connection) Unsent() int { return len(c.output) }
 
+// InputAge implements proxy.Conn.
+func (c *connection) InputAge() float64 {
+	age := c.server.reactor.inputAge()
+	if !c.unreadSince.IsZero() {
+		age = max(age, time.Since(c.unreadSince))
+	}
+	// The first bytes of a connection may have waited with it to be accepted.
+	if (c.server.reactor.blockedLong || !c.hasRead) && c.isOpen() {
+		if ago, err := c.server.kernel.LastReceived(c.registration.fd); err == nil && ago >= negligibleAge {
+			age = max(age, ago)
+		}
+	}
+	return age.Seconds()
+}
+
 // Name implements proxy.Conn.
 func (c *connection) Name() string { return c.peer.String() }
 
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -20,6 +20,8 @@
 	// Pauses of accepting after it failed for want of a resource double from the first to the longest.
 	firstAcceptPause   = 10 * time.Millisecond
 	longestAcceptPause = 500 * time.Millisecond
+	// addressTimeout is for how long the start waits for an address that is in use.
+	addressTimeout = time.Second
 	// startTimeout is for how long the start asks again for a socket where the machine lacks a resource.
 	startTimeout = 5 * time.Second
 )
@@ -30,6 +32,7 @@
 	fd           int
 	registration *registration // nil before watch, and once it is closed
 	pause        time.Duration // after the last failure; 0: the last accept did not fail
+	pausedSince  time.Time     // since when connections wait that could not be accepted; zero: none do
 }
 
 // openListener binds an address, and tells which one port 0 stands for. Nobody can connect before listen.
@@ -59,14 +62,23 @@
 	return &listener{fd: fd}, socketPeer(local).String(), nil
 }
 
-// retryExhausted makes calls again that fail because the machine lacks a resource at the moment, for startTimeout.
-func retryExhausted(call func() error) error {
-	for end := time.Now().Add(startTimeout); ; time.Sleep(retryPause) {
+// retryStart makes calls again that fail because the machine lacks a resource at the moment, or because the address is
+// still in use: an earlier process may be about to end, or a connection of any process may have the port for a moment.
+func retryStart(call func() error) error {
+	began := time.Now()
+	for {
 		err := call()
-		class := syscalls.ClassOf(err)
-		if err == nil || class != syscalls.Exhausted && class != syscalls.Interrupted || time.Now().After(end) {
+		timeout := time.Duration(0)
+		switch {
+		case errors.Is(err, unix.EADDRINUSE):
+			timeout = addressTimeout
+		case syscalls.ClassOf(err) == syscalls.Exhausted, syscalls.ClassOf(err) == syscalls.Interrupted:
+			timeout = startTimeout
+		}
+		if err == nil || time.Since(began) >= timeout {
 			return err
 		}
+		time.Sleep(retryPause)
 	}
 }
 
@@ -89,7 +101,7 @@
 		fd, peer, err := l.server.kernel.Accept(l.fd)
 		if err == nil {
 			l.pause = 0
-			l.server.onAccepted(fd, socketPeer(peer))
+			l.server.onAccepted(fd, socketPeer(peer), l.pausedSince)
 			continue
 		}
 		switch syscalls.ClassOfAccept(err) {
@@ -97,6 +109,7 @@
 		case syscalls.PeerGone:
 			l.server.counters.abortedConnections.Add(1)
 		case syscalls.WouldBlock:
+			l.pausedSince = time.Time{}
 			return
 		default:
 			l.pauseAccepting(err)
@@ -108,6 +121,9 @@
 // pauseAccepting leaves connections where they wait for a while, so that what lacks can come back. An idle client makes
 // room where the settings allow that.
 func (l *listener) pauseAccepting(err error) {
+	if l.pausedSince.IsZero() {
+		l.pausedSince = time.Now()
+	}
 	l.pause = min(max(2*l.pause, firstAcceptPause), longestAcceptPause)
 	s := l.server
 	s.counters.acceptFailures.Add(1)
@@ -130,10 +146,17 @@
 	}
 }
 
-// onAccepted takes a connection into service.
-func (s *Server) onAccepted(fd int, peer netip.AddrPort) {
-	c := &connection{server: s, peer: peer}
+// onAccepted takes a connection into service that may have waited for that; waitedSince is zero where it has not.
+func (s *Server) onAccepted(fd int, peer netip.AddrPort, waitedSince time.Time) {
+	c := &connection{server: s, peer: peer, unreadSince: waitedSince}
 	c.registration = s.reactor.register(fd, readEvents, c)
+	switch {
+	case !waitedSince.IsZero():
+	case s.reactor.inputAge() > 0: // what was sent on it may be as old as the connection
+		c.unreadSince = s.reactor.inputSince
+	case !c.registration.added:
+		c.unreadSince = time.Now()
+	}
 	if c.client = s.proxy.Accept(c); c.client == nil {
 		c.Close()
 	}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -94,7 +94,7 @@
 // sweep has the proxy look at idle and slow connections, and ends dials whose time is up.
 func (s *Server) sweep() {
 	now := time.Now()
-	s.reactor.sweepAt = now.Add(time.Duration(proxy.SweepEvery * float64(time.Second)))
+	s.reactor.sweepAt = now.Add(longestWait)
 	s.expireDials(now)
 	s.proxy.Sweep()
 }
--- a/internal/eventloop/peers.go
+++ b/internal/eventloop/peers.go
@@ -41,7 +41,7 @@
 			return nil, fmt.Errorf("socket for peers %s: %w", settings.PeerListen, err)
 		}
 	}
-	err := retryExhausted(func() (err error) {
+	err := retryStart(func() (err error) {
 		peers.conn, err = net.ListenUDP("udp", local)
 		return err
 	})
--- a/internal/eventloop/reactor.go
+++ b/internal/eventloop/reactor.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"streamcleat/internal/proxy"
 	"streamcleat/internal/syscalls"
 )
 
@@ -20,6 +21,12 @@
 	slowTurn = 100 * time.Millisecond
 	// retryPause is the time after which a call is made again that failed for want of a resource of this machine.
 	retryPause = 10 * time.Millisecond
+	// longestWait is the longest wait for sockets of a loop that serves.
+	longestWait = time.Duration(proxy.SweepEvery * float64(time.Second))
+	// schedulingMargin is by how much a call may take longer than it needs on a machine that is not held up.
+	schedulingMargin = 20 * time.Millisecond
+	// negligibleAge is the time unread that is not counted: a third of the slack that the platform allows.
+	negligibleAge = 50 * time.Millisecond
 )
 
 // eventHandler takes the events of one registered descriptor.
@@ -51,6 +58,12 @@
 	retryAt       time.Time                // of these; zero: there are none
 	retries       []delayedCall
 
+	lastReturn time.Time // of the wait for sockets
+	inputSince time.Time // since when input may have waited, see noteWait
+	// blockedLong tells that the last wait was so long that what came at its beginning counts as old, should the process
+	// have been stopped in it. A loop that waits for long has time to ask the kernel when it came.
+	blockedLong bool
+
 	tickAt  time.Time // of the front end's own timer; zero: not set
 	onTick  func()
 	sweepAt time.Time
@@ -91,11 +104,20 @@
 // run serves until stop is called on the loop, or waiting fails. It closes nothing.
 func (r *reactor) run() error {
 	events := make([]unix.EpollEvent, maxEventsPerTurn)
+	var entered time.Time // the wait; zero: it has returned
 	for !r.stopping {
-		n, err := r.kernel.EpollWait(r.epoll, events, r.waitTime(time.Now()))
+		now := time.Now()
+		if entered.IsZero() {
+			entered = now
+		}
+		n, err := r.kernel.EpollWait(r.epoll, events, r.waitTime(now))
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return err
 		}
+		if err == nil { // an interrupted wait tells nothing of the sockets, and goes on
+			r.noteWait(entered, time.Now())
+			entered = time.Time{}
+		}
 		r.mu.Lock()
 		r.awake = true // what is posted during the turn is looked at after it
 		r.mu.Unlock()
@@ -104,6 +126,30 @@
 	return nil
 }
 
+// noteWait notes since when what the sockets hold now may have been there. What came before the last wait returned was
+// served in the last turn. A wait that blocked, and returned in time, returned with what had just come; one that found
+// something at once, or was held up by a busy or stopped machine, may return with what came at any time since the one
+// before it. The sweep bounds each wait.
+func (r *reactor) noteWait(entered, returned time.Time) {
+	blocked := returned.Sub(entered)
+	r.inputSince = r.lastReturn
+	if blocked >= schedulingMargin && blocked <= longestWait+schedulingMargin {
+		r.inputSince = returned
+	}
+	r.blockedLong = blocked >= negligibleAge
+	r.lastReturn = returned
+}
+
+// inputAge is the longest time for which input that is read now may have waited to be read; 0 where it is of no
+// consequence.
+func (r *reactor) inputAge() time.Duration {
+	age := time.Since(r.inputSince)
+	if r.inputSince.IsZero() || age < negligibleAge {
+		return 0
+	}
+	return age
+}
+
 // turn serves the sockets that have events, the timers that are due, and the functions that were posted by now.
 // Functions that are posted meanwhile wait for the next turn, so that they never hold up the sockets.
 func (r *reactor) turn(events []unix.EpollEvent) {
--- a/internal/eventloop/server.go
+++ b/internal/eventloop/server.go
@@ -138,7 +138,7 @@
 // open opens the sockets and the loop. Where the machine lacks a resource at the moment it waits for it.
 func (s *Server) open(settings *Settings) error {
 	var bound string
-	err := retryExhausted(func() (err error) {
+	err := retryStart(func() (err error) {
 		s.listener, bound, err = openListener(s.kernel, settings.Listen)
 		return err
 	})
@@ -146,7 +146,7 @@
 		return fmt.Errorf("listen on %s: %w", settings.Listen, err)
 	}
 	settings.Listen = bound
-	err = retryExhausted(func() (err error) {
+	err = retryStart(func() (err error) {
 		s.reactor, err = newReactor(s.kernel, s.log, &s.counters)
 		return err
 	})
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -39,6 +39,7 @@
 	p.lastWaiter++
 	p.clientRequests[p.lastWaiter] = clientRequest{h.client, slot}
 	h.client.waiters[slot] = p.lastWaiter
+	request.Age = h.client.conn.InputAge()
 	p.dispatcher.Submit(p.host.Now(), p.lastWaiter, request)
 }
 
--- a/internal/proxy/interfaces.go
+++ b/internal/proxy/interfaces.go
@@ -102,6 +102,8 @@
 	// ReadAhead hands out bytes that came and were not handed over yet, or nil; open is false where the connection has
 	// ended. It is for clients' connections only.
 	ReadAhead() (data []byte, open bool)
+	// InputAge is the longest time, in seconds, for which bytes that are handed over now may have waited to be read.
+	InputAge() float64
 	// Name is the address of the other side, for logs.
 	Name() string
 }
--- a/internal/simulation/front_end.go
+++ b/internal/simulation/front_end.go
@@ -154,6 +154,9 @@
 // ReadAhead has nothing: what arrives is handed over at once.
 func (c proxyConn) ReadAhead() ([]byte, bool) { return nil, true }
 
+// InputAge implements proxy.Conn. Bytes are handed over as they come.
+func (c proxyConn) InputAge() float64 { return 0 }
+
 // host is the clock, timers and network that a front end's proxy runs on.
 type host frontEnd
 
--- a/internal/soak/front_end.go
+++ b/internal/soak/front_end.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -250,23 +252,57 @@
 	}
 }
 
-// newFrontEnd reserves the addresses of a front end.
-func (s *site) newFrontEnd(number int) (*frontEnd, error) {
-	f := &frontEnd{site: s, number: number, name: frontEndName(number), path: filepath.Join(s.folder, frontEndName(number)+".json")}
-	listener, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return nil, err
+// Ports of front ends lie under those that the system gives to connections, or one of these may have the port of a front
+// end that restarts.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+)
+
+// lastPort counts from a random port on, so that none is given twice.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(rand.Uint32N(portCount)) }
+
+// nextAddress is an address that was not given before.
+func nextAddress() string { return fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount) }
+
+// listen listens at an address, or at any that is free where it is "".
+func listen(address string) (listener net.Listener, err error) {
+	if address != "" {
+		return net.Listen("tcp", address)
 	}
-	f.listen = listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		return nil, err
+	for range 100 {
+		if listener, err = net.Listen("tcp", nextAddress()); err == nil {
+			return listener, nil
+		}
 	}
-	peer, err := net.ListenPacket("udp", anyPort)
-	if err != nil {
+	return nil, err
+}
+
+// reservePort finds a port that nobody listens at, for TCP and UDP.
+func reservePort() (address string, err error) {
+	for range 100 {
+		address = nextAddress()
+		listener, listenErr := net.Listen("tcp", address)
+		if err = listenErr; err != nil {
+			continue
+		}
+		packets, listenErr := net.ListenPacket("udp", address)
+		if err = errors.Join(listenErr, listener.Close()); err == nil {
+			return address, packets.Close()
+		}
+	}
+	return "", err
+}
+
+// newFrontEnd reserves the addresses of a front end.
+func (s *site) newFrontEnd(number int) (f *frontEnd, err error) {
+	f = &frontEnd{site: s, number: number, name: frontEndName(number), path: filepath.Join(s.folder, frontEndName(number)+".json")}
+	if f.listen, err = reservePort(); err != nil {
 		return nil, err
 	}
-	f.peer = peer.LocalAddr().String()
-	if err := peer.Close(); err != nil {
+	if f.peer, err = reservePort(); err != nil {
 		return nil, err
 	}
 	return f, f.moveDiscovery()
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -58,11 +58,11 @@
 	w := &worker{site: s, name: name, startedAt: time.Now(), lanes: make(chan struct{}, workerLanes), conns: map[net.Conn]bool{},
 		loaded: map[string]bool{}}
 	for number := range s.settings.FrontEnds {
-		address := anyPort
+		var address string
 		if addresses != nil {
 			address = addresses[number]
 		}
-		listener, err := net.Listen("tcp", address)
+		listener, err := listen(address)
 		if err != nil {
 			w.crash()
 			return nil, fmt.Errorf("worker %s: %w", name, err)
--- a/internal/syscalls/kernel.go
+++ b/internal/syscalls/kernel.go
@@ -4,6 +4,8 @@
 package syscalls
 
 import (
+	"time"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -21,6 +23,8 @@
 	Read(fd int, buffer []byte) (n int, err error)
 	Write(fd int, data []byte) (n int, err error)
 	ShutdownWrite(fd int) error
+	// LastReceived is how long ago a connection received data last.
+	LastReceived(fd int) (ago time.Duration, err error)
 	// Close closes a descriptor, which is free afterwards whatever it returns.
 	Close(fd int) error
 	EpollCreate() (epoll int, err error)
@@ -84,6 +88,15 @@
 // ShutdownWrite implements Kernel.
 func (Linux) ShutdownWrite(fd int) error { return unix.Shutdown(fd, unix.SHUT_WR) }
 
+// LastReceived implements Kernel.
+func (Linux) LastReceived(fd int) (time.Duration, error) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+}
+
 // Close implements Kernel.
 func (Linux) Close(fd int) error { return unix.Close(fd) }
 
