--- a/internal/http1/framer_test.go
+++ b/internal/http1/framer_test.go
@@ -147,6 +147,15 @@
 	}
 }
 
+// A request without a body is whole at its head, whatever it expects.
+func TestContinueWithoutBody(t *testing.T) {
+	f := NewRequests(limits)
+	f.Feed([]byte("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 0\r\n\r\n"))
+	if m, err := f.Next(); err != nil || m == nil || m.ExpectContinue || !f.Idle() {
+		t.Fatal(m, err)
+	}
+}
+
 // FuzzFramer holds two things against any bytes: how they are cut up in transit changes nothing, and what is
 // taken for a request the standard library takes for the same one.
 func FuzzFramer(f *testing.F) {
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -206,3 +206,12 @@
 		t.Fatalf("%d identities", len(seen))
 	}
 }
+
+// A line without any word before its data is an error that names the line.
+func TestCrontabLineWithoutSchedule(t *testing.T) {
+	for _, line := range []string{"%", "%data", " % x"} {
+		if _, err := Parse(strings.NewReader("# first\n"+line+"\n"), "tab"); err == nil || !strings.Contains(err.Error(), "tab:2") {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+}
