An appliance keeps descriptors back and ends with its loop; framer, crontab, drain, local dials

Change: appliance.maxClients divides the limit of descriptors and idle clients are evicted; an event loop that ends is a failure of the appliance, which ends with it; a request without a body expects nothing; a line without a schedule is an error that names it; a version without signatures has a whole error text; SetEndpoints closes a connection with unsent bytes of a draining worker; dials that fail for want of a resource end attempts as not sent.

--- a/internal/appliance/startup.go
+++ b/internal/appliance/startup.go
@@ -146,6 +146,7 @@
 		a.addresses = append(a.addresses, server.Addr())
 		a.serverByAddress[server.Addr()] = server
 		a.mu.Unlock()
+		go a.watchServer(server)
 	}
 	for _, lost := range a.servers[0].Unanswered() {
 		a.log.Error("dead-lettered at the restart: it may have run and must not run again", "request_id", lost.Identity.String(),
@@ -154,6 +155,13 @@
 	return nil
 }
 
+// watchServer has the process end where an event loop does: it must not stay up and serve nobody.
+func (a *Appliance) watchServer(server *eventloop.Server) {
+	if err := server.Wait(); err != nil {
+		a.fail(fmt.Errorf("front end on %s: %w", server.Addr(), err))
+	}
+}
+
 // serverSettings returns the settings of the server with a number.
 func (a *Appliance) serverSettings(number int, address string) eventloop.Settings {
 	cfg := a.config
@@ -172,7 +180,8 @@
 			Dispatch:         dispatchSettings,
 			Upstream:         cfg.Upstream(name),
 			Downstream:       cfg.Downstream(),
-			MaxClients:       cfg.Limits.MaxConnections,
+			MaxClients:       maxClients(cfg.Limits.MaxConnections, descriptorLimit(), len(cfg.Listen)),
+			EvictIdleClients: true,
 			Log:              a.log,
 			Recovered:        a.recovered.Records,
 			ReplicaSnapshots: a.recovered.Replicas,
--- a/internal/eventloop/faults_test.go
+++ b/internal/eventloop/faults_test.go
@@ -1,6 +1,7 @@
 package eventloop_test
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -8,6 +9,9 @@
 
 	"golang.org/x/sys/unix"
 
+	"streamcleat/control"
+	"streamcleat/internal/dispatch"
+	"streamcleat/internal/eventloop"
 	"streamcleat/internal/proxy"
 	"streamcleat/internal/syscalls/faults"
 )
@@ -112,6 +116,30 @@
 	}
 }
 
+// A loop that can't wait for sockets any more ends with that error, which its owner is told.
+func TestLoopThatCantWaitEnds(t *testing.T) {
+	var script faults.Script
+	server, err := eventloop.Start(eventloop.Settings{Listen: "127.0.0.1:0", Kernel: faults.Kernel{Decide: script.Decide},
+		Settings: proxy.Settings{MaxClients: 4, Dispatch: dispatch.Settings{Deployment: &control.Deployment{FrontEnds: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	script.Fail(faults.Wait, unix.EBADF, 1)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Wait() }()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, unix.EBADF) {
+			t.Error(err)
+		}
+	case <-time.After(3 * time.Second):
+		t.Fatal("it goes on")
+	}
+	if err := server.Stop(0); err != nil {
+		t.Error(err)
+	}
+}
+
 // readUntil reads lines up to one.
 func readUntil(t *testing.T, in interface{ ReadString(byte) (string, error) }, want string) {
 	t.Helper()
--- a/internal/http1/framer.go
+++ b/internal/http1/framer.go
@@ -161,6 +161,7 @@
 		f.message, f.state = nil, stateHead
 		return progressNext, nil
 	case f.state == stateLength && f.left == 0:
+		f.message.ExpectContinue = false // nothing follows
 		return progressComplete, nil
 	case f.message.ExpectContinue && !f.continueAsked && len(f.buf) == 0:
 		return progressContinue, nil
--- a/internal/platform/upstream/pool.go
+++ b/internal/platform/upstream/pool.go
@@ -88,8 +88,12 @@
 			delete(c.open, e.wireID)
 			p.exchanges.FailUnsent(e)
 		}
-		if len(c.open) == 0 {
+		switch {
+		case len(c.open) == 0:
+			p.connections.Close(c)
+		case c.Established && p.transport.Unsent(c.ID) > 0: // what is in our buffer must not leave any more
 			p.connections.Close(c)
+			p.failAll(c)
 		}
 	}
 }
@@ -220,6 +224,9 @@
 	c := p.connections.Dialed(now, id, err)
 	switch {
 	case c == nil:
+	case errors.Is(err, upstream.ErrLocal):
+		p.connections.Remove(c)
+		p.failLocally(c)
 	case err != nil:
 		p.connections.Remove(c)
 		p.failAll(c)
@@ -249,6 +256,18 @@
 	}
 }
 
+// failLocally ends what waited for a dial that this machine could not make. Attempts were not sent, which says nothing of
+// the worker and its replicas; a load command counts as one that can't reach it, so that another worker is asked.
+func (p *Pool) failLocally(c *connection) {
+	for _, e := range c.takeOpen() {
+		if e.IsLoad {
+			p.exchanges.FinishLost(e)
+		} else {
+			p.exchanges.Finish(e, dispatch.WorkerReply{Outcome: control.NotSent}, 0)
+		}
+	}
+}
+
 // CancelUnsent takes back an attempt of which nothing was sent; it returns false where something may have been. Its
 // dial goes on for the next exchange.
 func (p *Pool) CancelUnsent(id uint64) bool {
--- a/internal/platform/upstream/pool_test.go
+++ b/internal/platform/upstream/pool_test.go
@@ -351,3 +351,29 @@
 		t.Errorf("%d frames were written", len(got))
 	}
 }
+
+// A dial that this machine could not make says nothing of the worker: attempts end as not sent.
+func TestLocalDialErrors(t *testing.T) {
+	n := newFakeTransport(t, 1, 32)
+	n.attempt(1, "a")
+	n.pool.OnDialed(0, 1, errors.Join(upstream.ErrLocal, errors.New("no port")))
+	n.expect("1:7/0")
+	n.attempt(2, "a")
+	n.pool.OnDialed(0, 2, errors.New("refused"))
+	n.expect("2:6/0")
+}
+
+// What is still in our own buffer when its worker drains does not leave: its connection ends.
+func TestUnsentBytesDoNotLeaveAfterADrain(t *testing.T) {
+	for unsent, want := range map[int][]string{0: nil, 10: {"1:3/0"}} {
+		n := newFakeTransport(t, 1, 32)
+		n.attempt(1, "a")
+		n.pool.OnDialed(0, 1, nil)
+		n.unsent[1] = unsent
+		n.pool.SetEndpoints(list(map[string]string{"a": "x:1"}, control.Draining, 0))
+		n.expect(want...)
+		if closed := len(n.closed) > 0; closed != (unsent > 0) {
+			t.Errorf("%d unsent bytes, closed %v", unsent, n.closed)
+		}
+	}
+}
--- a/internal/registry/signing/ring_test.go
+++ b/internal/registry/signing/ring_test.go
@@ -95,6 +95,15 @@
 }
 
 // What was published stands while enough of its keys are in the ring and not revoked, retired ones too.
+// The error of a version that nobody signed is whole.
+func TestVersionWithoutSignatures(t *testing.T) {
+	_, key := newKey(t, "a")
+	_, err := newRing(t, 1, key).Verify(day, "tally", "1.0", sum, nil)
+	if !errors.Is(err, ErrUntrusted) || strings.Contains(err.Error(), "%!") {
+		t.Error(err)
+	}
+}
+
 func TestWhatStands(t *testing.T) {
 	_, retired := newKey(t, "old")
 	_, revoked := newKey(t, "fresh")
--- a/internal/registry/signing/verify.go
+++ b/internal/registry/signing/verify.go
@@ -32,7 +32,11 @@
 	slices.Sort(ids)
 	ids = slices.Compact(ids)
 	if len(ids) < r.Threshold {
-		return ids, fmt.Errorf("%s:%s: %w: %d of %d keys that it takes %w", function, version, ErrUntrusted, len(ids), r.Threshold, errors.Join(reasons...))
+		err := fmt.Errorf("%s:%s: %w: %d of %d keys that it takes", function, version, ErrUntrusted, len(ids), r.Threshold)
+		if len(reasons) > 0 {
+			err = fmt.Errorf("%w %w", err, errors.Join(reasons...))
+		}
+		return ids, err
 	}
 	return ids, nil
 }
--- a/internal/schedule/crontab.go
+++ b/internal/schedule/crontab.go
@@ -132,7 +132,7 @@
 	command, data, hasData := cutPercent(line)
 	words := strings.Fields(command)
 	specWords := 5
-	if strings.HasPrefix(words[0], "@") {
+	if len(words) > 0 && strings.HasPrefix(words[0], "@") {
 		specWords = 1
 	}
 	if len(words) < specWords+2 || len(words) > specWords+3 {
