Why client connections are closed or refused is counted and logged; totals at the end

Change: proxy.closeClient is the one place that closes a client's connection; each has a CloseReason, counted and logged, and requests that were open on it count as unanswered.

--- a/cmd/streamcleat/node_shutdown.go
+++ b/cmd/streamcleat/node_shutdown.go
@@ -39,12 +39,29 @@
 				return err
 			}
 			if terminated {
+				n.logTotals()
 				return n.server.Stop(0)
 			}
 		}
 	}
 }
 
+// logTotals logs what the process did, and what it met that it recovered from.
+func (n *nodeRuntime) logTotals() {
+	counts, _, _, err := n.server.Counts()
+	if err != nil {
+		return // the loop has ended, which is reported by itself
+	}
+	faults := n.server.Faults()
+	closes, unanswered := map[proxy.CloseReason]uint64{}, uint64(0)
+	err = n.server.Do(func(p *proxy.Proxy) { closes, unanswered = p.Closes() })
+	n.log.Info("totals of this process", "accepted", counts.Accepted, "succeeded", counts.Succeeded, "rejected", counts.Rejected,
+		"failed", counts.Failed, "cancelled", counts.Cancelled, "attempts", counts.Attempts, "timed_out", counts.TimedOut,
+		"sends_refused", counts.SendsRefused, "closes", closes, "closed_unanswered", unanswered, "accept_failures", faults.AcceptFailures,
+		"aborted_connections", faults.AbortedConnections, "registration_failures", faults.RegistrationFailures,
+		"dial_retries", faults.DialRetries, "write_retries", faults.WriteRetries, "slow_turns", faults.SlowTurns, "error", err)
+}
+
 // maxRequestTimeout is the longest time, in seconds, that a client waits for a response.
 func (n *nodeRuntime) maxRequestTimeout() (longest float64) {
 	for _, class := range n.document.Terms.RequestClasses {
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -54,7 +54,12 @@
 
 // Accept takes a client's connection. It returns nil where there is no room for it; the host closes it then.
 func (p *Proxy) Accept(conn Conn) *Client {
-	if p.draining || len(p.clients) >= p.settings.MaxClients && !p.EvictIdleClient() {
+	if p.draining {
+		p.noteClose(conn.Name(), RefuseDraining, 0)
+		return nil
+	}
+	if len(p.clients) >= p.settings.MaxClients && !p.EvictIdleClient() {
+		p.noteClose(conn.Name(), RefuseFull, 0)
 		return nil
 	}
 	client := &Client{conn: conn, index: len(p.clients), waiters: map[uint64]dispatch.WaiterID{}}
@@ -84,7 +89,7 @@
 	if client.writeClosedAt > 0 {
 		client.discardedBytes += len(data)
 		if client.discardedBytes > maxDiscardedBytes {
-			p.closeClient(client)
+			p.closeClient(client, CloseOversent)
 		}
 		return
 	}
@@ -144,8 +149,7 @@
 			return // the write broke it
 		}
 		if client.conn.Unsent() > p.settings.Downstream.MaxUnread {
-			p.log.Warn("client does not read its answers", "client", client.conn.Name())
-			p.closeClient(client)
+			p.closeClient(client, CloseUnread)
 			return
 		}
 	}
@@ -163,7 +167,7 @@
 	for i := len(p.clients) - 1; i >= 0; i-- {
 		client := p.clients[i]
 		if client.writeClosedAt > 0 && now-client.writeClosedAt > lingerSeconds {
-			p.closeClient(client)
+			p.closeClient(client, CloseLingered)
 			continue
 		}
 		if client.session.Tick(now) || client.closeAfterLastResponse {
@@ -172,12 +176,6 @@
 	}
 }
 
-func (p *Proxy) closeClient(client *Client) {
-	if p.removeClient(client) {
-		client.conn.Close()
-	}
-}
-
 // removeClient forgets a connection and cancels its requests; it tells whether the connection was still known.
 func (p *Proxy) removeClient(client *Client) bool {
 	if client.closed {
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -12,7 +12,7 @@
 		p.readAhead(oldest)
 		p.Flush()
 		if since, idle := oldest.session.Idle(); oldest.closed || idle && since == idleSince {
-			p.closeClient(oldest)
+			p.closeClient(oldest, CloseEvicted)
 			return true
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -55,6 +55,7 @@
 	endpoints     endpointState
 	durability    durabilityBarrier
 	draining      bool // no connection is accepted any more
+	closes        closeCounts
 
 	// Work for Flush, in the order in which it was asked for.
 	flushing         bool
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -42,6 +42,9 @@
 
 // OnAttemptReply implements upstream.Results.
 func (r upstreamResults) OnAttemptReply(attempt uint64, reply dispatch.WorkerReply) {
+	if reply.Outcome != control.Succeeded {
+		r.proxy.log.Debug("attempt ended", "attempt", attempt, "outcome", int(reply.Outcome))
+	}
 	r.proxy.dispatcher.OnAttemptReply(r.proxy.host.Now(), attempt, reply)
 }
 
