--- a/cmd/streamcleat/serve.go
+++ b/cmd/streamcleat/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +12,7 @@
 
 	"streamcleat/internal/appliance"
 	"streamcleat/internal/config"
+	"streamcleat/internal/telemetry"
 )
 
 func serveCommand() *cobra.Command {
@@ -45,6 +47,9 @@
 	return c, nil
 }
 
+// serveLogRate is the most log records a second: a fault that shows with each request must not fill a disk.
+const serveLogRate = 100
+
 // serve runs the appliance until ctx ends and open requests are answered. A second signal shortens the graceful shutdown.
 func serve(ctx context.Context, c *config.Config) error {
 	abort := make(chan struct{})
@@ -57,7 +62,8 @@
 	}()
 	stderr, closeLog := openLog()
 	defer closeLog()
-	return appliance.Run(ctx, c, c.Logger(stderr), abort, func(addresses []string) {
+	log := slog.New(telemetry.RateLimited(c.Logger(stderr).Handler(), serveLogRate))
+	return appliance.Run(ctx, c, log, abort, func(addresses []string) {
 		for _, address := range addresses {
 			fmt.Printf("front end listens on %s\n", address)
 		}
--- a/internal/eventloop/reactor.go
+++ b/internal/eventloop/reactor.go
@@ -69,6 +69,8 @@
 	sweepAt time.Time
 	onSweep func()
 
+	slowestTimer slowestTimer // of the present turn
+
 	mu       sync.Mutex // of what follows, which other goroutines use
 	posted   []func()
 	awake    bool // a wake-up is under way, or the loop will look at posted by itself
@@ -163,11 +165,13 @@
 	}
 	served := time.Now()
 	ran := r.runPosted()
+	r.slowestTimer = slowestTimer{}
 	r.runTimers(time.Now())
 	if took := time.Since(began); took > slowTurn {
 		r.counters.slowTurns.Add(1)
 		r.log.Warn("a turn of the event loop took long", "seconds", took.Seconds(), "sockets", len(events),
-			"sockets_seconds", served.Sub(began).Seconds(), "posted", ran)
+			"sockets_seconds", served.Sub(began).Seconds(), "posted", ran, "timer", r.slowestTimer.name,
+			"timer_seconds", r.slowestTimer.took.Seconds())
 	}
 }
 
@@ -213,15 +217,30 @@
 func (r *reactor) runTimers(now time.Time) {
 	if !r.tickAt.IsZero() && !now.Before(r.tickAt) {
 		r.tickAt = time.Time{}
-		r.onTick()
+		r.runTimer("dispatcher", r.onTick)
 	}
 	if !r.sweepAt.IsZero() && !now.Before(r.sweepAt) {
-		r.onSweep()
+		r.runTimer("sweep", r.onSweep)
 	}
 	if !r.retryAt.IsZero() && !now.Before(r.retryAt) {
 		r.retryRegistrations()
 	}
-	r.runRetries(now)
+	r.runTimer("retries", func() { r.runRetries(now) })
+}
+
+// slowestTimer is the timer of a turn that took longest.
+type slowestTimer struct {
+	name string
+	took time.Duration
+}
+
+// runTimer runs a timer and notes how long it took.
+func (r *reactor) runTimer(name string, run func()) {
+	began := time.Now()
+	run()
+	if took := time.Since(began); took > r.slowestTimer.took {
+		r.slowestTimer = slowestTimer{name, took}
+	}
 }
 
 // runRetries runs the delayed calls that are due; those that they add wait for a later turn.
--- /dev/null
+++ b/internal/proxy/eviction_test.go
@@ -0,0 +1,54 @@
+package proxy
+
+import (
+	"testing"
+
+	"streamcleat/control"
+	"streamcleat/internal/dispatch"
+	"streamcleat/internal/http1"
+	fronthttp "streamcleat/internal/ingress/http"
+)
+
+// fakeConn is a client's connection of which nothing is read.
+type fakeConn struct {
+	unsent int
+	closed bool
+}
+
+func (c *fakeConn) Write([]byte)              {}
+func (c *fakeConn) Close()                    { c.closed = true }
+func (c *fakeConn) CloseWrite()               {}
+func (c *fakeConn) Unsent() int               { return c.unsent }
+func (c *fakeConn) ReadAhead() ([]byte, bool) { return nil, true }
+func (c *fakeConn) InputAge() float64         { return 0 }
+func (c *fakeConn) Name() string              { return "client" }
+
+// The connection that has been idle longest goes, but none whose last response has not left; where there is no other,
+// the newcomer is refused, and both are counted.
+func TestEvictionSparesUnsentResponses(t *testing.T) {
+	host := &fakeHost{now: 1}
+	p := New(Settings{
+		MaxClients:       2,
+		EvictIdleClients: true,
+		Downstream:       fronthttp.Limits{Message: http1.Limits{Head: 1000}, RequestTimeout: 5, IdleTimeout: 5},
+		Dispatch:         dispatch.Settings{Deployment: &control.Deployment{FrontEnds: 1}},
+	}, host)
+	oldest, idle := &fakeConn{unsent: 10}, &fakeConn{}
+	for _, conn := range []*fakeConn{oldest, idle} {
+		if p.Accept(conn) == nil {
+			t.Fatal("refused below the limit")
+		}
+		host.now++
+	}
+	newcomer := &fakeConn{unsent: 1}
+	if p.Accept(newcomer) == nil || oldest.closed || !idle.closed {
+		t.Errorf("oldest closed %v, idle closed %v", oldest.closed, idle.closed)
+	}
+	if p.Accept(&fakeConn{}) != nil || oldest.closed || newcomer.closed {
+		t.Error("room was made at the cost of a response")
+	}
+	closes, unanswered := p.Closes()
+	if closes[CloseEvicted] != 1 || closes[RefuseFull] != 1 || unanswered != 0 {
+		t.Error(closes, unanswered)
+	}
+}
