--- a/internal/eventloop/connection.go
+++ b/internal/eventloop/connection.go
@@ -28,7 +28,7 @@
 	peer         netip.AddrPort
 	output       []byte          // written and not taken by the kernel yet
 	unreadSince  time.Time       // since when input may have waited though the loop ran; zero: it has not
-	hasRead      bool            // bytes came before
+	waited       bool            // its first bytes may have waited with it to be accepted
 	client       *proxy.Client   // nil: it is to a worker
 	upstreamID   upstream.ConnID // of a connection to a worker
 }
@@ -52,7 +52,7 @@
 	switch {
 	case err == nil && n > 0:
 		c.onData(buffer[:n])
-		c.unreadSince, c.hasRead = time.Time{}, true
+		c.unreadSince, c.waited = time.Time{}, false
 	case err == nil:
 		c.onEnd(nil)
 	case syscalls.ClassOf(err) == syscalls.WouldBlock:
@@ -208,8 +208,7 @@
 	if !c.unreadSince.IsZero() {
 		age = max(age, time.Since(c.unreadSince))
 	}
-	// The first bytes of a connection may have waited with it to be accepted.
-	if (c.server.reactor.blockedLong || !c.hasRead) && c.isOpen() {
+	if (c.server.reactor.blockedLong || c.waited) && c.isOpen() {
 		if ago, err := c.server.kernel.LastReceived(c.registration.fd); err == nil && ago >= negligibleAge {
 			age = max(age, ago)
 		}
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -148,12 +148,13 @@
 
 // onAccepted takes a connection into service that may have waited for that; waitedSince is zero where it has not.
 func (s *Server) onAccepted(fd int, peer netip.AddrPort, waitedSince time.Time) {
-	c := &connection{server: s, peer: peer}
+	c := &connection{server: s, peer: peer, waited: s.reactor.blockedLong || !waitedSince.IsZero()}
 	c.registration = s.reactor.register(fd, readEvents, c)
-	_, err := s.kernel.LastReceived(fd)
 	switch {
-	case err != nil && !waitedSince.IsZero(): // else the kernel tells how long ago what is read came
-		c.unreadSince = waitedSince
+	case !waitedSince.IsZero(): // the kernel tells how long ago what is read came, if it can
+		if _, err := s.kernel.LastReceived(fd); err != nil {
+			c.unreadSince = waitedSince
+		}
 	case s.reactor.inputAge() > 0: // what was sent on it may be as old as the connection
 		c.unreadSince = s.reactor.inputSince
 	case !c.registration.added:
