Input is old after a long turn or a wait that was held up, however long the wait blocked

Cause: a wait that blocked for 20 ms counted as one that returned with new input; on a busy machine one that found old input at once can take as long. Change: the length of the last turn decides in place of the time that the wait blocked. Measured: eventloop passes.

--- a/internal/eventloop/reactor.go
+++ b/internal/eventloop/reactor.go
@@ -129,13 +129,14 @@
 }
 
 // noteWait notes since when what the sockets hold now may have been there. What came before the last wait returned was
-// served in the last turn. A wait that blocked, and returned in time, returned with what had just come; one that found
-// something at once, or was held up by a busy or stopped machine, may return with what came at any time since the one
-// before it. The sweep bounds each wait.
+// served in the last turn. After a short turn nothing old can be there, and a wait that returned in time returns with what
+// had just come. After a long turn, or where the wait was held up by a busy or stopped machine, what it returns with may
+// have come at any time since the one before it. The sweep bounds each wait.
 func (r *reactor) noteWait(entered, returned time.Time) {
 	blocked := returned.Sub(entered)
+	lastTurn := entered.Sub(r.lastReturn)
 	r.inputSince = r.lastReturn
-	if blocked >= schedulingMargin && blocked <= longestWait+schedulingMargin {
+	if lastTurn < negligibleAge && blocked <= longestWait+schedulingMargin {
 		r.inputSince = returned
 	}
 	r.blockedLong = blocked >= negligibleAge
