A stopped process counts the time that requests lay unread: a test with SIGSTOP

Cause: the soak's deadlines after pauses had only a test with a stalled loop. Change: TestStoppedProcessCountsTheTime stops a real process six times, with a request on an open connection and one on a new one.

--- a/cmd/streamcleat/node_process_test.go
+++ b/cmd/streamcleat/node_process_test.go
@@ -224,3 +224,52 @@
 		})
 	}
 }
+
+// A request that came while the process was stopped has that much less time, on an open connection and on one that was
+// not accepted yet.
+func TestStoppedProcessCountsTheTime(t *testing.T) {
+	t.Parallel()
+	const timeout, slack, stopped = 1500 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond
+	f := newWorkerFixture(t)
+	type stated struct {
+		budget time.Duration
+		at     time.Time
+	}
+	attempts := make(chan stated, 16)
+	f.handleWorkerConnections(func(conn net.Conn) {
+		f.serveOneAttempt(conn, func(frame workerFrame) { attempts <- stated{statedBudget(t, frame), time.Now()} })
+	})
+	addrs := freeAddresses(t, 2)
+	node := startNodeProcess(t, documentText(addrs[0], addrs[1], f.worker.Addr().String(), 256), addrs[0], 256)
+	client := dialNode(t, addrs[0])
+	client.send("warm")
+	client.receive()
+	<-attempts
+	for range 6 {
+		time.Sleep(20 * time.Millisecond)
+		if err := node.process.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond) // until it has taken effect
+		newcomer := dialNode(t, addrs[0])
+		sentAt := time.Now()
+		client.send("on an open connection")
+		newcomer.send("on a new one")
+		time.Sleep(stopped)
+		if err := node.process.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			attempt := <-attempts
+			if left := timeout - attempt.at.Sub(sentAt); attempt.budget > left+slack {
+				t.Errorf("the worker is told %v, the client has %v left", attempt.budget, left)
+			}
+		}
+		client.receive()
+		newcomer.receive()
+	}
+	if err := node.process.Signal(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	waitForExit(t, node.done)
+}
