--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -248,4 +248,5 @@
 		}
 	}
 	clear(c.open)
+	c.closed = true // a request that was recorded after this would have nobody to see its end
 }
