A start that fails gives its descriptors back; a test of the busy address

Cause: last reading: open left the loop's descriptors where the peers' socket failed, listen left the bound socket; waiting for a busy address had no test. Change: both are closed; TestStartWaitsForABusyAddress.

--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -85,7 +85,7 @@
 // listen lets clients connect from now on, and accepts them on the loop of a server.
 func (l *listener) listen(s *Server) error {
 	if err := s.kernel.Listen(l.fd, listenBacklog); err != nil {
-		return os.NewSyscallError("listen", err)
+		return errors.Join(os.NewSyscallError("listen", err), s.kernel.Close(l.fd))
 	}
 	l.server = s
 	l.registration = s.reactor.register(l.fd, readEvents, l)
@@ -140,10 +140,11 @@
 
 // close ends listening. Connections that were not accepted are reset.
 func (l *listener) close() {
-	if l.registration != nil {
-		l.server.reactor.unregister(l.registration)
-		l.registration = nil
+	if l.registration == nil {
+		return
 	}
+	l.server.reactor.unregister(l.registration)
+	l.registration = nil
 }
 
 // onAccepted takes a connection into service that may have waited for that; waitedSince is zero where it has not.
--- a/internal/eventloop/listener_test.go
+++ b/internal/eventloop/listener_test.go
@@ -135,3 +135,23 @@
 		t.Error(err)
 	}
 }
+
+// An address that is in use for a moment does not end the start.
+func TestStartWaitsForABusyAddress(t *testing.T) {
+	busy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(200*time.Millisecond, func() {
+		if err := busy.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	server, err := Start(startSettings(busy.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Stop(0); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/eventloop/server.go
+++ b/internal/eventloop/server.go
@@ -150,12 +150,13 @@
 		s.reactor, err = newReactor(s.kernel, s.log, &s.counters)
 		return err
 	})
-	if err == nil {
-		s.peers, err = openPeerSockets(settings)
-	}
 	if err != nil {
 		return errors.Join(err, s.kernel.Close(s.listener.fd))
 	}
+	if s.peers, err = openPeerSockets(settings); err != nil {
+		s.reactor.close()
+		return errors.Join(err, s.kernel.Close(s.listener.fd))
+	}
 	return nil
 }
 
