Without discovery nothing is sent to a worker that has no proof

Callers and operators saw: a front end restarted while discovery is out of reach, and without peers, sent load commands to workers that had drained for longer than the grace. Cause: a worker without a proof was tried by one message (an answer to a query "admitted" it), and that message breaks the rule where the worker drains. Without discovery, peers or a proof no first message is safe. Change: only a proof counts. Admission is gone (isAdmitted, awaitsDecision, hasEnoughProven). Requests wait for peers' answers as before, and are rejected with a retry time if no proven worker can take them; also without load commands and with a quota. Peers are asked at start. The soak judges a process that starts later by the time at which the drain counted as received.

Tests replaced: the fleets with random outages allow no message past the grace (two for each process before, any without load commands). Tests of admission give way to TestLease_UnprovenWorkersAreNotUsed, _RejectsWithoutProof, _RequestsAwaitPeers; those of queries run where draining workers reject them, the only place where an answer is a proof. Four process tests expected service from a front end that had never heard discovery: they have a discovery service now, and the one of the descriptor limit expects a rejection first and service once discovery is back. A stalled host of the lease tests no longer turns its clock back.

--- a/cmd/streamcleat/node_process_test.go
+++ b/cmd/streamcleat/node_process_test.go
@@ -29,6 +29,32 @@
 	return startServer(t, dir, command, addr, stderr, documentVariable+"="+path)
 }
 
+// awaitReady waits until a front end answers that it is ready.
+func awaitReady(t *testing.T, addr string) {
+	t.Helper()
+	client := nodetest.Dial(t, addr)
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		client.SendBytes(nodetest.ReadinessQuery())
+		if strings.HasPrefix(client.Receive(), `5/0 "\x00`) {
+			nodetest.Close(t, client.Conn)
+			return
+		}
+	}
+	t.Fatal("not ready")
+}
+
+// receiveWithin receives a value, or fails the test.
+func receiveWithin[T any](t *testing.T, values <-chan T, timeout time.Duration) T {
+	t.Helper()
+	select {
+	case value := <-values:
+		return value
+	case <-time.After(timeout):
+		t.Fatalf("nothing received within %v", timeout)
+		panic("unreachable")
+	}
+}
+
 // startNodeWithLimit runs a front end whose process may have a number of descriptors. The log is complete once the
 // process has ended.
 func startNodeWithLimit(t *testing.T, document, addr string, descriptors int) (node *serverProcess, log *bytes.Buffer) {
@@ -37,8 +63,9 @@
 	return startNode(t, document, addr, fmt.Sprintf("ulimit -n %d; exec streamcleat node", descriptors), log), log
 }
 
-// The discovery service is down from the start. Hundreds of silent connections keep neither active clients nor the watch
-// out, and do not end the process. A signal shuts it down in order.
+// The discovery service is down from the start, so that requests are rejected. Hundreds of silent connections keep neither
+// active clients nor the watch out, and do not end the process: once the service is back, requests succeed. A signal shuts
+// it down in order.
 func TestProcessUnderItsDescriptorLimit(t *testing.T) {
 	t.Parallel()
 	const descriptors = 96
@@ -49,9 +76,9 @@
 	node, log := startNodeWithLimit(t, document, nodeAddr, descriptors)
 	dialSilently(t, nodeAddr, 200)
 	client := nodetest.Dial(t, nodeAddr)
-	client.Send("among silent ones")
-	if got := client.Receive(); !strings.Contains(got, "among silent ones") {
-		t.Error(got)
+	client.Send("without discovery")
+	if got := client.Receive(); !strings.HasPrefix(got, `2/1 "\b`) {
+		t.Error("not rejected:", got)
 	}
 	discovery, err := net.Listen("tcp", discoveryAddr)
 	if err != nil {
@@ -63,6 +90,7 @@
 	go func() {
 		if conn, err := discovery.Accept(); err == nil {
 			line, _ := bufio.NewReader(conn).ReadString('\n') // an incomplete line is compared as it is
+			_, _ = fmt.Fprintln(conn, 1)                      // the request below shows whether it arrived
 			watched <- line
 		}
 	}()
@@ -74,6 +102,12 @@
 	case <-time.After(3 * time.Second):
 		t.Error("discovery service is back and is not watched")
 	}
+	awaitReady(t, nodeAddr)
+	client = nodetest.Dial(t, nodeAddr) // the first one may have been evicted, it has no open request
+	client.Send("among silent ones")
+	if got := client.Receive(); !strings.Contains(got, "among silent ones") {
+		t.Error(got)
+	}
 	node.signal(t, syscall.SIGTERM)
 	nodetest.WaitForExit(t, node.done)
 	if text := log.String(); strings.Contains(text, "too many open files") {
@@ -87,9 +121,10 @@
 	t.Parallel()
 	const stated, enforced = 1024, 48
 	worker := nodetest.NewWorker(t)
-	addrs := freeAddresses(t, 2)
-	discoveryAddr, nodeAddr := addrs[0], addrs[1]
-	node, _ := startNodeWithLimit(t, nodetest.DocumentText(nodeAddr, discoveryAddr, worker.Addr(), stated), nodeAddr, enforced)
+	nodeAddr := freeAddresses(t, 1)[0]
+	document := nodetest.DocumentText(nodeAddr, nodetest.NewDiscovery(t).Addr(), worker.Addr(), stated)
+	node, _ := startNodeWithLimit(t, document, nodeAddr, enforced)
+	awaitReady(t, nodeAddr)
 	early := nodetest.Dial(t, nodeAddr)
 	early.Send("early")
 	if got := early.Receive(); !strings.Contains(got, "early") {
@@ -126,13 +161,14 @@
 	if _, err := unix.FcntlInt(stderr.Fd(), unix.F_SETPIPE_SZ, 4096); err != nil {
 		t.Fatal(err)
 	}
-	addrs := freeAddresses(t, 2)
-	document := nodetest.DocumentText(addrs[0], addrs[1], worker.Addr(), 256)
-	node = startNode(t, document, addrs[0], "exec streamcleat node --log debug --log-rate 100000", stderr)
+	addr = freeAddresses(t, 1)[0]
+	document := nodetest.DocumentText(addr, nodetest.NewDiscovery(t).Addr(), worker.Addr(), 256)
+	node = startNode(t, document, addr, "exec streamcleat node --log debug --log-rate 100000", stderr)
 	if err := stderr.Close(); err != nil {
 		t.Error(err)
 	}
-	return node, addrs[0], logs
+	awaitReady(t, addr)
+	return node, addr, logs
 }
 
 // A reader of the log that stalls or closes the pipe does not stop the service.
@@ -179,24 +215,25 @@
 	worker.HandleConnections(func(conn net.Conn) {
 		worker.ObserveAttempts(conn, func(frame nodetest.Frame) { attempts <- attempt{frame.Budget(t), time.Now()} })
 	})
-	addrs := freeAddresses(t, 2)
-	node, _ := startNodeWithLimit(t, nodetest.DocumentText(addrs[0], addrs[1], worker.Addr(), 256), addrs[0], 256)
-	client := nodetest.Dial(t, addrs[0])
+	addr := freeAddresses(t, 1)[0]
+	node, _ := startNodeWithLimit(t, nodetest.DocumentText(addr, nodetest.NewDiscovery(t).Addr(), worker.Addr(), 256), addr, 256)
+	awaitReady(t, addr)
+	client := nodetest.Dial(t, addr)
 	client.Send("warm")
 	client.Receive()
-	<-attempts
+	receiveWithin(t, attempts, 5*time.Second)
 	for range 6 {
 		time.Sleep(20 * time.Millisecond)
 		node.signal(t, syscall.SIGSTOP)
 		time.Sleep(5 * time.Millisecond) // until it has taken effect
-		newcomer := nodetest.Dial(t, addrs[0])
+		newcomer := nodetest.Dial(t, addr)
 		sentAt := time.Now()
 		client.Send("on an open connection")
 		newcomer.Send("on a new connection")
 		time.Sleep(suspended)
 		node.signal(t, syscall.SIGCONT)
 		for range 2 {
-			a := <-attempts
+			a := receiveWithin(t, attempts, 5*time.Second)
 			if left := timeout - a.receivedAt.Sub(sentAt); a.budget > left+slack {
 				t.Errorf("worker gets %v, client has %v left", a.budget, left)
 			}
--- a/cmd/streamcleat/outage_test.go
+++ b/cmd/streamcleat/outage_test.go
@@ -69,3 +69,35 @@
 		})
 	}
 }
+
+// A front end that is restarted without discovery and without peers does not find out by a message which workers drain. It
+// is ready late, and rejects what it can't serve.
+func TestDiscoveryOutage_RestartsWithoutPeers(t *testing.T) {
+	exclusive.Acquire(t)
+	program, err := exec.LookPath("streamcleat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		seed           uint64
+		answersQueries bool
+	}{{15, true}, {17, true}, {15, false}} {
+		t.Run(fmt.Sprintf("seed %d, answers queries %v", c.seed, c.answersQueries), func(t *testing.T) {
+			t.Parallel()
+			play := soak.OutagePlay{
+				Fault: soak.ConnectionsReset, Duration: 14 * time.Second, Draining: 3, DrainAfter: 200 * time.Millisecond, RestartAfter: 4500 * time.Millisecond,
+			}
+			result, _, err := soak.Run(context.Background(), soak.Settings{
+				Program: program, Seed: c.seed, FrontEnds: 3, Workers: 12, Outage: &play, WithoutPeers: true, DrainingAnswersQueries: c.answersQueries,
+				Log: t.Logf,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(result)
+			if result.Broken() || result.Verdict.Succeeded < 100 {
+				t.Error("a rule was violated, or fewer than 100 requests succeeded")
+			}
+		})
+	}
+}
--- a/control/endpoint_lease.go
+++ b/control/endpoint_lease.go
@@ -7,7 +7,7 @@
 //
 // While discovery is heard, all listed workers hold leases. Otherwise a worker holds one for the drain grace after it was
 // sent something that it accepted: an attempt, or a load command. Leases of workers in use are renewed before they run out
-// (lease_renewal.go). A worker without a lease is queried before anything else is sent to it, and one that rejected
+// (lease_renewal.go). Nothing but queries is sent to a worker without a lease (lease_admission.go), and one that rejected
 // something after its last proof counts as draining.
 
 const (
@@ -36,11 +36,10 @@
 
 // workerLease holds what one worker showed about whether it serves.
 type workerLease struct {
-	provenAt      units.Seconds // send time of the last message that it accepted
-	rejectedAt    units.Seconds // time of its last rejection
-	clearedAt     units.Seconds // send time of the query that it answered after it had rejected one
-	admittedUntil units.Seconds // by an answer to a query, which is no proof
-	usedAt        units.Seconds // time of the last attempt
+	provenAt   units.Seconds // send time of the last message that it accepted
+	rejectedAt units.Seconds // time of its last rejection
+	clearedAt  units.Seconds // send time of the query that it answered after it had rejected one
+	usedAt     units.Seconds // time of the last attempt
 
 	isAsked  bool          // a query or a renewal awaits its result
 	retryAt  units.Seconds // no query is sent before
@@ -141,7 +140,7 @@
 func (r *Router) MayLoad(now units.Seconds, id WorkerID) bool {
 	r.advance(now)
 	w, known := r.workersByID[id]
-	return known && (r.holdsLease(w) || r.isAdmitted(w))
+	return known && r.holdsLease(w)
 }
 
 // MayQuery is MaySend for a query or renewal. A renewal may go to a worker that has rejected something, if it may still be
@@ -149,7 +148,7 @@
 func (r *Router) MayQuery(now units.Seconds, id WorkerID, replicas int) bool {
 	r.advance(now)
 	w, known := r.workersByID[id]
-	return known && (replicas == 0 || r.isProven(w) || r.isAdmitted(w))
+	return known && (replicas == 0 || r.isProven(w))
 }
 
 // recordProof records that w accepted a message sent at a time.
@@ -188,7 +187,7 @@
 
 // reset clears what a worker showed before its process restarted. A query in progress stays.
 func (l *workerLease) reset() {
-	l.provenAt, l.rejectedAt, l.clearedAt, l.admittedUntil, l.usedAt, l.retryAt = 0, 0, 0, 0, 0, 0
+	l.provenAt, l.rejectedAt, l.clearedAt, l.usedAt, l.retryAt = 0, 0, 0, 0, 0
 	l.failures, l.rejectedQuery, l.drainConfirmed, l.drainSeenAt = 0, false, false, 0
 }
 
--- a/control/endpoint_lease_test.go
+++ b/control/endpoint_lease_test.go
@@ -103,11 +103,10 @@
 	h.router.OnQueryResult(h.now, QueryResult{Worker: worker, Function: "f", Commanded: h.commanded, Outcome: outcome, Replicas: replicas, Latency: 0.001})
 }
 
-// admit sends a request while the home has no lease, and answers the query and the renewal that go before it.
+// admit sends a request while the home has no lease, and answers the query that goes before it.
 func (h *leaseHost) admit(id RequestID) {
 	h.request(id)
 	h.answerQuery(h.home, Succeeded, 1)
-	h.answerQuery(h.home, Succeeded, 1)
 }
 
 // endAttempt reports the result of an attempt.
@@ -120,7 +119,7 @@
 	for ; duration > 0; duration -= tickSeconds {
 		next := h.now + min(duration, tickSeconds)
 		if h.answersDueAt > 0 && h.answersDueAt <= next {
-			h.now, h.answersDueAt = h.answersDueAt, 0
+			h.now, h.answersDueAt = max(h.now, h.answersDueAt), 0 // a stalled process is told late
 			h.router.OnTimer(h.now, peerAnswerTimer)
 		}
 		h.now = next
@@ -147,8 +146,16 @@
 	return h
 }
 
-// newOutageWithPeers returns a host whose leases have all run out.
+// newOutageWithPeers returns a host whose leases have all run out. Its draining workers reject queries.
 func newOutageWithPeers() *leaseHost {
+	h := newUndecidedOutage()
+	h.router.queriesShowDrains = true
+	return h
+}
+
+// newUndecidedOutage returns a host whose leases have all run out, and that does not know what draining workers do with
+// queries.
+func newUndecidedOutage() *leaseHost {
 	h := newLeaseHost()
 	h.router.workersByID[h.home].lease.usedAt = 0 // no lease is renewed
 	h.router.OnDiscoveryLost(h.now)
@@ -272,7 +279,6 @@
 	}
 	h.commanded = 0
 	h.answerQuery(h.home, Succeeded, 1)
-	h.answerQuery(h.home, Succeeded, 1)
 	if !h.router.MaySend(h.now, h.home) {
 		t.Error("no lease after a good answer")
 	}
--- a/control/lease_admission.go
+++ b/control/lease_admission.go
@@ -1,48 +1,22 @@
 package control
 
-import "slices"
+import (
+	"slices"
 
-// Admission without discovery: which workers may be sent something, or be chosen for it after a query.
-
-const (
-	// sufficientProvenFraction is the fraction of the workers that rejected nothing from which the proven ones suffice even if
-	// none of them has room.
-	sufficientProvenFraction = 0.75
+	"streamcleat/internal/units"
 )
 
-// isAdmitted reports whether w answered a query lately and has rejected nothing. It may get one message, which decides.
-func (r *Router) isAdmitted(w *worker) bool {
-	return r.now < w.lease.admittedUntil && !r.hasRejected(w)
-}
+// Admission without discovery: which workers may be sent something, or be chosen for it once they are proven.
+//
+// Only a proof counts. A worker without one may drain, and the first message to it would tell by breaking the rule on
+// draining workers. It is chosen only where it can be proven without such a message: by a peer, or by its answer to a
+// query in a deployment whose draining workers reject queries. Otherwise it gets nothing, and requests that no proven
+// worker can take are rejected with a retry time.
 
-// awaitsDecision reports whether a worker that was only admitted has been sent the one message that decides whether it
-// serves.
-func (r *Router) awaitsDecision(w *worker) bool {
-	if r.isProven(w) || r.renewalsAllowed() || !r.deployment.LoadCommandsAllowed {
-		return false
-	}
-	return len(w.inFlight) > 0 || r.awaitsLoadOn(w)
-}
-
-// awaitsLoadOn reports whether a load command that was sent to w awaits its result.
-func (r *Router) awaitsLoadOn(w *worker) bool {
-	return slices.ContainsFunc(r.functions, func(fn *function) bool { return fn.pendingLoadOn == w && !fn.loadAwaitsLease })
-}
-
-// holdsLease reports whether attempts and load commands may be sent to w now. Where no renewal can prove that a worker
-// serves, it suffices that it was admitted, and where it cannot be queried either, that it has rejected nothing.
-func (r *Router) holdsLease(w *worker) bool {
-	switch {
-	case r.hasRejected(w):
-		return false
-	case r.isProven(w) || !r.deployment.LoadCommandsAllowed:
-		return true
-	default:
-		return !r.renewalsAllowed() && r.isAdmitted(w)
-	}
-}
+// holdsLease reports whether attempts and load commands may be sent to w now.
+func (r *Router) holdsLease(w *worker) bool { return r.isProven(w) && !r.hasRejected(w) }
 
-// leaseHolders returns those of the candidates that need not be queried first, or all if there are none.
+// leaseHolders returns those of the candidates that hold leases, or all if there are none.
 func (r *Router) leaseHolders(candidates []*worker) []*worker {
 	if r.isDiscoveryHeard() {
 		return candidates
@@ -59,42 +33,28 @@
 	return holders
 }
 
-// mayUse reports whether w may be chosen for a message now, possibly after a query.
+// mayUse reports whether w may be chosen for a message now, possibly one that waits for a proof.
 func (r *Router) mayUse(w *worker) bool {
 	switch {
 	case r.isDiscoveryHeard():
 		return true
-	case r.hasRejected(w) || r.awaitsBackoff(w) || r.awaitsDecision(w):
+	case r.hasRejected(w) || r.awaitsBackoff(w):
 		return false
 	default:
-		return r.isProven(w) || !r.hasEnoughProven()
+		return r.isProven(w) || r.mayBeProven()
 	}
 }
 
-// hasEnoughProven reports whether others than the proven workers need not be admitted: one of the proven has room, or they are
-// most of those that may serve. Any other may drain, which a message past the grace would tell.
-func (r *Router) hasEnoughProven() bool {
-	if r.provenCountedAt != r.now {
-		r.countProven()
-	}
-	suffice := r.provenFraction >= sufficientProvenFraction || r.provenHaveRoom
-	return suffice && !r.queriesShowDrains
+// mayBeProven reports whether a worker without a proof may get one soon, by its answer to a query or from a peer.
+func (r *Router) mayBeProven() bool {
+	return r.queriesProve() || r.awaitsPeers() || r.mayAskPeers()
 }
 
-// countProven computes the fraction of the workers that rejected nothing which hold leases by proofs, and whether one of them
-// has room.
-func (r *Router) countProven() {
-	r.provenCountedAt, r.provenHaveRoom = r.now, false
-	proven, others := 0.0, 0.0
-	for _, w := range r.workers {
-		switch {
-		case w.state != Serving || r.hasRejected(w):
-		case !r.isProven(w):
-			others++
-		default:
-			proven++
-			r.provenHaveRoom = r.provenHaveRoom || r.hasCapacity(w)
-		}
-	}
-	r.provenFraction = proven / max(proven+others, 1)
+// queriesProve reports whether a worker that answers a query serves.
+func (r *Router) queriesProve() bool { return r.queriesShowDrains && r.deployment.LoadCommandsAllowed }
+
+// CanServe reports whether any worker may be sent requests now.
+func (r *Router) CanServe(now units.Seconds) bool {
+	r.advance(now)
+	return slices.ContainsFunc(r.workers, func(w *worker) bool { return w.state == Serving && r.holdsLease(w) })
 }
--- a/control/lease_admission_test.go
+++ b/control/lease_admission_test.go
@@ -1,26 +1,27 @@
 package control
 
 import (
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"testing"
 )
 
-// Workers that hold no lease are left alone while a proven one has room, or most are proven: one that drains, and that nobody
-// used lately, would be found out by a message past the grace.
-func TestLease_UnprovenWorkersAreNotNeeded(t *testing.T) {
+// Workers that hold no lease are left alone, whether or not a proven one has room: one that drains, and that nobody used
+// lately, would be found out by a message past the grace.
+func TestLease_UnprovenWorkersAreNotUsed(t *testing.T) {
 	for name, c := range map[string]struct {
 		proven, unproven int
 		busy             bool
-		tries            bool
 	}{
 		"two thirds proven":        {proven: 6, unproven: 3},
-		"two thirds, without room": {proven: 6, unproven: 3, busy: true, tries: true},
+		"two thirds, without room": {proven: 6, unproven: 3, busy: true},
 		"four fifths, no room":     {proven: 8, unproven: 2, busy: true},
 		"one in ten, with room":    {proven: 1, unproven: 9},
-		"none":                     {proven: 0, unproven: 9, tries: true},
+		"none":                     {proven: 0, unproven: 9},
 	} {
-		h := newOutage()
+		h := newUndecidedOutage()
+		h.router.deployment.FrontEnds = 1
 		var endpoints []Worker
 		for i := range c.proven + c.unproven {
 			endpoints = append(endpoints, Worker{ID: WorkerID(fmt.Sprint("v", i)), Weight: 1})
@@ -33,30 +34,65 @@
 				w.concurrencyLimit = 0
 			}
 		}
-		if tries := !h.router.hasEnoughProven(); tries != c.tries {
-			t.Errorf("%s: may try another %v", name, tries)
+		for i, endpoint := range endpoints {
+			w := h.router.workersByID[endpoint.ID]
+			if isProven := i < c.proven; h.router.mayUse(w) != isProven || h.router.MaySend(h.now, w.id) != isProven || h.router.MayLoad(h.now, w.id) != isProven {
+				t.Errorf("%s: worker %d, proven %v: may be used %v", name, i, isProven, !isProven)
+			}
+		}
+		if h.router.CanServe(h.now) != (c.proven > 0) {
+			t.Errorf("%s: can serve %v", name, c.proven == 0)
 		}
 	}
 }
 
-// What was proven of other workers while a query was under way counts before the message that would follow its answer.
-func TestLease_AnswerOfWorkerThatIsNotNeededAnyMore(t *testing.T) {
-	for name, provenMeanwhile := range map[string]bool{"others proven": true, "no other proven": false} {
-		h := newOutage()
+// Without a proof, and without a way to one that the rule on draining workers allows, requests are rejected at once. An
+// answer to a query is no such way where draining workers may answer them.
+func TestLease_RejectsWithoutProof(t *testing.T) {
+	for name, change := range map[string]func(*Router){
+		"unknown what draining workers do": func(*Router) {},
+		"no load commands":                 func(r *Router) { r.deployment.LoadCommandsAllowed = false },
+		"quota on load commands": func(r *Router) {
+			r.deployment.LoadCommandWindow, r.deployment.LoadCommandAllowance = 2, 5
+		},
+	} {
+		h := newUndecidedOutage()
+		h.router.deployment.FrontEnds = 1
+		change(h.router)
 		h.request("a")
-		h.expect(t, nil, h.at("%s/f=0"))
-		h.now += 0.01
-		for _, w := range h.router.workers {
-			if provenMeanwhile && w.id != h.home {
-				w.recordProof(h.now)
-			}
+		if !slices.Equal(h.rejected, []RequestID{"a"}) {
+			t.Errorf("%s: rejected %v", name, h.rejected)
 		}
+		h.expect(t, nil, nil)
+		h.router.workersByID[h.home].lease.isAsked = true
 		h.answerQuery(h.home, Succeeded, 1)
-		if tries := slices.Contains(h.queries, h.at("%s/f=1")[0]); tries == provenMeanwhile {
-			t.Errorf("%s: tried %v", name, tries)
+		if h.router.MaySend(h.now, h.home) || h.router.MayLoad(h.now, h.home) {
+			t.Errorf("%s: an answer to a query is taken for a proof", name)
+		}
+		h.request("b")
+		if !slices.Equal(h.rejected, []RequestID{"b"}) {
+			t.Errorf("%s: rejected %v", name, h.rejected)
+		}
+		h.expect(t, nil, nil)
+	}
+}
+
+// Requests wait for the answers of peers, once, and are rejected if none has a proof.
+func TestLease_RequestsAwaitPeers(t *testing.T) {
+	for name, isProven := range map[string]bool{"a peer has a proof": true, "no peer has": false} {
+		h := newUndecidedOutage()
+		h.request("a")
+		if isProven {
+			w := h.router.workersByID[h.home]
+			answer := binary.LittleEndian.AppendUint32([]byte{answerKind}, h.router.question.number)
+			h.router.OnGossip(h.now, binary.LittleEndian.AppendUint16(answer, uint16(w.digest())))
+		}
+		if sent := slices.Equal(h.attempts, h.at("a@%s")); sent != isProven {
+			t.Errorf("%s: attempts %v", name, h.attempts)
 		}
-		if loadsElsewhere := len(h.loads) == 1 && h.loads[0] != h.at("%s/f")[0]; loadsElsewhere != provenMeanwhile {
-			t.Errorf("%s: loads %v", name, h.loads)
+		h.advance(peerAnswerSeconds)
+		if rejected := len(h.rejected) == 1; rejected == isProven || len(h.queries)+len(h.loads) > 0 {
+			t.Errorf("%s: rejected %v, queries %v, loads %v", name, h.rejected, h.queries, h.loads)
 		}
 	}
 }
@@ -68,38 +104,12 @@
 	h.request("b")
 	h.expect(t, nil, h.at("%s/f=0"))
 	h.answerQuery(h.home, Succeeded, 1)
-	h.expect(t, nil, h.at("%s/f=1")) // one message decides, the requests follow
-	h.answerQuery(h.home, Succeeded, 1)
 	h.expect(t, append(h.at("a@%s"), h.at("b@%s")...), nil)
 	h.advance(0.05)
 	h.request("c")
 	h.expect(t, h.at("c@%s"), nil)
 }
 
-// An answer to a query admits a worker, but not one that has rejected something else.
-func TestLease_AnswerIsNoProofOfItself(t *testing.T) {
-	h := newOutage()
-	h.request("a")
-	h.answerQuery(h.home, Succeeded, 1)
-	h.expect(t, nil, append(h.at("%s/f=0"), h.at("%s/f=1")...))
-	h.now += 0.01
-	h.answerQuery(h.home, Rejected, 1)
-	for range 20 {
-		if slices.Contains(h.queries, h.at("%s/f=1")[0]) {
-			t.Fatal("renewal without a proof")
-		}
-		if slices.Contains(h.queries, h.at("%s/f=0")[0]) {
-			h.commanded = 0
-			h.answerQuery(h.home, Succeeded, 1)
-		}
-		h.clear()
-		h.advance(tickSeconds)
-		if h.router.MaySend(h.now, h.home) {
-			t.Fatal("worker that rejected an attempt is used again")
-		}
-	}
-}
-
 // Once a worker that drains for certain was seen to reject a query, an answer to one is a proof.
 func TestLease_QueriesThatShowDrains(t *testing.T) {
 	for outcome, proves := range map[Outcome]bool{Rejected: true, Succeeded: false} {
--- a/control/lease_renewal.go
+++ b/control/lease_renewal.go
@@ -12,8 +12,7 @@
 // A renewal is a load command for one replica that is loaded already. A draining worker rejects it and a full one does not.
 // The rule on draining workers covers it, so that it is sent only while the last proof of the worker counts. A query is a
 // load command for no replicas, which may be sent to any worker. Some workers answer queries while they drain, so that an
-// answer is a proof only once a worker that drains for certain was seen to reject one. Until then it admits a worker whose
-// last rejection, if any, was that of a query.
+// answer is a proof only once a worker that drains for certain was seen to reject one. Until then it proves nothing.
 
 const (
 	// renewalLeadSeconds is the time before the end of a lease at which it is renewed: a tick, and the way to the worker and
@@ -21,8 +20,8 @@
 	renewalLeadSeconds = tickSeconds + 0.05
 	// renewalIdleSeconds is the time since the last attempt after which the lease of a worker is no longer renewed.
 	renewalIdleSeconds = 5.0
-	// startDelaySeconds is the time after the start during which no worker is admitted without discovery, unless a peer answers
-	// before, so that messages of peers arrive first.
+	// startDelaySeconds is the time after the start during which requests and queries wait for messages of peers, unless one
+	// answers before.
 	startDelaySeconds = 0.3
 	// minQueryBackoffSeconds and maxQueryBackoffSeconds bound the time until a worker that did not answer is queried again.
 	minQueryBackoffSeconds = 0.5
@@ -31,7 +30,7 @@
 	queryBackoffJitter = 0.5
 )
 
-// awaitLease has a request wait until w has answered a query. It always reports true.
+// awaitLease has a request wait until w is proven, or no proof is to be had. It always reports true.
 func (r *Router) awaitLease(req *request, w *worker) bool {
 	req.awaitedLease = true
 	w.lease.waiters = append(w.lease.waiters, req)
@@ -40,7 +39,7 @@
 }
 
 // queryWorker queries w unless it is being asked already, and reports whether it did. The peers are asked first: the query is
-// only noted while their messages may still arrive.
+// only noted while their messages may still arrive. It is sent then if its answer proves something.
 func (r *Router) queryWorker(w *worker, fn *function) bool {
 	if !r.hasRejected(w) {
 		r.askPeers()
@@ -52,17 +51,17 @@
 	return r.askWorker(w, fn, 0)
 }
 
-// sendDelayedQuery sends a query that waited for messages of peers, or for the load command that decides, if requests or loads
-// still wait for it.
+// sendDelayedQuery sends a query that waited for messages of peers, if requests or loads still wait for it and its answer
+// proves something. Otherwise they go on without a proof of w.
 func (r *Router) sendDelayedQuery(w *worker) bool {
 	if w.lease.isAsked || w.lease.function == nil || r.awaitsPeers() {
 		return false
 	}
-	isAwaited := len(w.lease.waiters) > 0 || r.awaitsLeaseForLoad(w) && !r.awaitsLoadOn(w)
+	isAwaited := len(w.lease.waiters) > 0 || r.awaitsLeaseForLoad(w)
 	if !isAwaited || r.now < w.lease.retryAt {
 		return false
 	}
-	if !r.mayUse(w) {
+	if r.holdsLease(w) || !r.mayUse(w) || !r.queriesProve() {
 		r.releaseWaiters(w)
 		return true
 	}
@@ -157,9 +156,6 @@
 	switch result.Outcome {
 	case Succeeded:
 		r.recordAnswer(w, result)
-		if r.proveAdmitted(w, result) {
-			return
-		}
 	case Rejected:
 		r.recordRejectedQuery(w, result)
 	case Failed, TimedOut, ConnectionLost, Cancelled, Unreachable, NotSent, ReplicaMissing:
@@ -203,8 +199,6 @@
 	}
 	if result.Commanded > 0 || r.queriesShowDrains {
 		w.recordProof(sentAt)
-	} else {
-		w.lease.admittedUntil = sentAt + r.leaseDuration()
 	}
 	if r.hasRejected(w) {
 		r.backOffQueries(w) // the answer is no proof
@@ -219,18 +213,6 @@
 	}
 }
 
-// proveAdmitted sends a renewal to a worker that was admitted by the answer to a query, for the replica that it reported, and
-// reports whether it did. The requests that wait are sent only once it has been accepted: all of them would be rejected by a
-// worker that drains.
-func (r *Router) proveAdmitted(w *worker, result QueryResult) bool {
-	fn := r.functionsByID[result.Function]
-	isUseful := result.Commanded == 0 && result.Replicas > 0 && fn != nil && !r.isProven(w)
-	if !isUseful || !r.isAdmitted(w) || !r.mayUse(w) || !r.renewalsAllowed() {
-		return false // others may have been proven in the meantime
-	}
-	return r.askWorker(w, fn, 1)
-}
-
 // recordRejectedQuery records that w rejected a query, or a renewal of a replica that is loaded, which proves a drain.
 func (r *Router) recordRejectedQuery(w *worker, result QueryResult) {
 	w.lease.rejectedAt, w.lease.rejectedQuery = r.now, result.Commanded == 0
@@ -266,8 +248,7 @@
 // awaitsBackoff reports whether w did not answer a query lately and must not be queried yet.
 func (r *Router) awaitsBackoff(w *worker) bool { return !r.holdsLease(w) && r.now < w.lease.retryAt }
 
-// resumeLoads sends the load commands that waited for the lease of w, or ends them if it has none. A worker that was only
-// admitted gets one of them, whose result decides about the others.
+// resumeLoads sends the load commands that waited for the lease of w, or ends them if it has none.
 func (r *Router) resumeLoads(w *worker) {
 	for _, fn := range r.functions {
 		if fn.pendingLoadOn == w && fn.loadAwaitsLease {
@@ -278,12 +259,8 @@
 
 // resumeLoad sends the load command for one function that waited for the lease of w, or ends it.
 func (r *Router) resumeLoad(fn *function, w *worker) {
-	if !r.isProven(w) && r.isAdmitted(w) && r.awaitsLoadOn(w) {
-		return
-	}
 	fn.loadAwaitsLease = false
-	mayLoad := r.holdsLease(w) || r.isAdmitted(w) && r.mayUse(w)
-	if mayLoad && !r.isWarm(fn.replicaOn(w)) && r.mayCommandLoad() {
+	if r.holdsLease(w) && !r.isWarm(fn.replicaOn(w)) && r.mayCommandLoad() {
 		r.sendLoadCommand(fn, w)
 	} else {
 		r.clearPendingLoad(fn)
--- a/control/outage_fleet_test.go
+++ b/control/outage_fleet_test.go
@@ -10,8 +10,7 @@
 )
 
 // Fleets with random outages of discovery and random drains: nothing is sent to a worker that has drained for longer than
-// the grace, if discovery had not reported it. Where draining workers answer queries, each process of a front end may find
-// out by two messages.
+// the grace, if discovery had not reported it.
 func TestRouter_DrainsAreKeptDuringOutages(t *testing.T) {
 	holds := func(seed int64, answersQueries bool) bool {
 		fleet := runRandomOutages(seed, answersQueries)
@@ -123,15 +122,6 @@
 	if !s.discoveryDown || worker.State != Draining || s.now <= worker.drainedAt+s.deployment.DrainGrace {
 		return
 	}
-	if !s.deployment.LoadCommandsAllowed {
-		return // workers can't be queried there
-	}
 	worker.unheardSends[f.index]++
-	allowed := 0
-	if s.drainingAnswersQueries {
-		allowed = 2 // a load command and an attempt
-	}
-	if worker.unheardSends[f.index] > allowed {
-		s.recordViolation("%s at %s, which has drained for %.3f", message, worker.ID, s.now-worker.drainedAt)
-	}
+	s.recordViolation("%s at %s, which has drained for %.3f", message, worker.ID, s.now-worker.drainedAt)
 }
--- a/control/peer_proofs.go
+++ b/control/peer_proofs.go
@@ -62,10 +62,15 @@
 	}
 }
 
+// mayAskPeers reports whether there are peers and they were not asked lately.
+func (r *Router) mayAskPeers() bool {
+	interval := max(minQuestionInterval, units.Seconds(float64(r.deployment.FrontEnds)/questionsPerSecond))
+	return r.hasPeers() && (!r.question.isSent || r.now >= r.question.sentAt+interval)
+}
+
 // askPeers broadcasts a question, unless there was one lately.
 func (r *Router) askPeers() {
-	interval := max(minQuestionInterval, units.Seconds(float64(r.deployment.FrontEnds)/questionsPerSecond))
-	if !r.hasPeers() || r.question.isSent && r.now < r.question.sentAt+interval {
+	if !r.mayAskPeers() {
 		return
 	}
 	r.question.number = uint32(r.random.below(math.MaxUint32))
@@ -101,7 +106,7 @@
 
 // answerQuestion tells which workers proved to serve and which drain. A few peers answer each question.
 func (r *Router) answerQuestion(number uint32) {
-	if r.random.fraction()*float64(r.deployment.FrontEnds-1) >= answersPerQuestion || len(r.workers) == 0 {
+	if !r.hasPeers() || len(r.workers) == 0 || r.random.fraction()*float64(r.deployment.FrontEnds-1) >= answersPerQuestion {
 		return
 	}
 	answer := binary.LittleEndian.AppendUint32([]byte{answerKind}, number)
@@ -145,7 +150,6 @@
 	for ; len(proofs) >= proofBytes; proofs = proofs[proofBytes:] {
 		r.applyPeerProof(binary.LittleEndian.Uint16(proofs))
 	}
-	r.provenCountedAt = -1
 	r.releaseAllWaiters(func(w *worker) bool { return !w.lease.isAsked })
 	r.endpointRulesDue = true
 	r.applyRules()
--- a/control/peer_proofs_test.go
+++ b/control/peer_proofs_test.go
@@ -26,8 +26,7 @@
 	}
 }
 
-// Without peers nobody can tell the restarted front end: an answer to a query does not tell a draining worker from one that
-// serves, and to refuse all requests until discovery is heard would serve nobody.
+// Without peers nobody can tell the restarted front end which workers drain: an answer to a query does not.
 func TestOutage_RestartWithoutPeersTriesNoDrainingWorker(t *testing.T) {
 	if sent, _, _ := playRestartsCutOff(t, false); sent > 0 {
 		t.Errorf("%d messages to draining workers past the grace", sent)
@@ -248,9 +247,9 @@
 // tell the two apart, peers with a proof of their own would lose a full worker by the message: nothing is broadcast.
 func TestRejectedLoad_IsBroadcast(t *testing.T) {
 	for name, c := range map[string]struct{ isProven, hasQuota bool }{
-		"admitted by an answer":            {},
-		"proven":                           {isProven: true},
-		"admitted, quota on load commands": {hasQuota: true},
+		"proof ran out":                         {},
+		"proven":                                {isProven: true},
+		"proof ran out, quota on load commands": {hasQuota: true},
 	} {
 		h := newOutageWithPeers()
 		if c.hasQuota {
@@ -258,7 +257,6 @@
 		}
 		silent := c.isProven || c.hasQuota
 		w, fn := h.router.workersByID["w1"], h.router.functionsByID["f"]
-		w.lease.admittedUntil = h.now + 0.1
 		if c.isProven {
 			w.recordProof(h.now)
 		}
--- a/control/router.go
+++ b/control/router.go
@@ -49,6 +49,7 @@
 	}
 	r.endpointRulesDue = true
 	r.endpointVersion++
+	r.askPeersIfUnproven()
 	r.applyRules()
 }
 
--- a/control/router_state.go
+++ b/control/router_state.go
@@ -34,9 +34,6 @@
 	renewalCredits   float64
 	// queriesShowDrains is set once a worker that drains for certain rejected a query: an answer to one is a proof then.
 	queriesShowDrains bool
-	provenCountedAt   units.Seconds
-	provenFraction    float64 // of the workers that rejected nothing: those that hold leases by proofs
-	provenHaveRoom    bool    // one of them has
 	startedAt         units.Seconds
 	question          peerQuestion
 
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -41,7 +41,6 @@
 
 // startCold grants w the slow start credits of a process that just started.
 func (r *Router) startCold(w *worker) {
-	w.lease.admittedUntil = 0
 	w.usedCredits, w.grantedCredits = 0, r.random.fraction()
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -151,6 +151,12 @@
 // DrainingByRejection returns the workers that count as draining because of what they rejected without discovery.
 func (d *Dispatcher) DrainingByRejection() []control.WorkerID { return d.router.DrainingByRejection() }
 
+// CanServe reports whether any worker may be sent requests now.
+func (d *Dispatcher) CanServe(now units.Seconds) bool {
+	d.advance(now)
+	return d.router.CanServe(d.now)
+}
+
 // OnDisconnected records that the last established connection to a worker has ended.
 func (d *Dispatcher) OnDisconnected(now units.Seconds, worker control.WorkerID) {
 	d.advance(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"streamcleat/internal/dispatch"
@@ -29,18 +28,18 @@
 	document  *platform.Document
 	server    *eventloop.Server
 	discovery *eventloop.DiscoveryWatch
-	ready     atomic.Bool // reported to readiness queries
+	readiness readiness
 	log       *slog.Logger
 }
 
 // Start starts a front end: its sockets, its dispatcher and its discovery watch.
 func Start(document *platform.Document, log *slog.Logger) (*Node, error) {
-	n := &Node{document: document, log: log}
+	n := &Node{document: document, readiness: readiness{log: log}, log: log}
 	settings := n.serverSettings()
 	// The document's endpoint list applies before the first byte of a client is read: requests do not wait for the watch.
 	settings.OnStart = func(p *proxy.Proxy) {
 		p.SetEndpointList(n.endpointList())
-		n.ready.Store(true)
+		n.readiness.onStart(p, eventloop.Now())
 	}
 	var err error
 	if n.server, err = eventloop.Start(settings); err != nil {
@@ -112,7 +111,7 @@
 	document := n.document
 	deployment := document.Terms.Deployment()
 	deployment.EndpointLeases = true
-	limits := clientLimits(deployment, n.ready.Load)
+	limits := clientLimits(deployment, n.readiness.isReady)
 	poolLimits := upstreamLimits(document, workers)
 	settings := proxy.Settings{
 		Name:             document.Name,
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -30,7 +30,7 @@
 			return fmt.Errorf("event loop on %s ended: %w", n.document.Listen, err)
 		case <-stop:
 			stop, stoppedAt = nil, time.Now()
-			n.ready.Store(false)
+			n.readiness.onStop()
 			ticker := time.NewTicker(shutdownPollInterval)
 			defer ticker.Stop()
 			poll = ticker.C
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -36,6 +36,7 @@
 	lastReadAt   units.Seconds                      // time of the last reading, on the host's clock
 	drained      map[control.WorkerID]bool          // by operators
 	discovery    discoveryState
+	cannotServe  bool                       // no worker may be sent requests, as last logged
 	rejecting    []control.WorkerID         // count as draining by their rejections, as last logged
 	lastUnloadID uint64                     // IDs of unload commands count down, to differ from the dispatcher's
 	snapshots    []dispatch.ReplicaSnapshot // of an earlier process; nil after the first list
@@ -97,6 +98,23 @@
 	p.endpoints.rejecting = rejecting
 }
 
+// logAvailability logs when no worker may be sent requests any more, and when one may again.
+func (p *Proxy) logAvailability() {
+	cannotServe := !p.CanServe()
+	if cannotServe == p.endpoints.cannotServe || p.endpoints.discovery == discoveryNotTried {
+		return
+	}
+	p.endpoints.cannotServe = cannotServe
+	if cannotServe {
+		p.log.Warn("no worker holds a lease, requests are rejected", "discovery_heard", p.DiscoveryHeard())
+	} else {
+		p.log.Warn("a worker holds a lease, requests are accepted")
+	}
+}
+
+// CanServe reports whether any worker may be sent requests now.
+func (p *Proxy) CanServe() bool { return p.dispatcher.CanServe(p.host.Now()) }
+
 // DiscoveryHeard reports whether the discovery service was heard and not lost since.
 func (p *Proxy) DiscoveryHeard() bool { return p.endpoints.discovery == discoveryHeard }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -143,6 +143,7 @@
 	p.pool.Tick(now)
 	p.sweepClients(now)
 	p.logRejectingWorkers()
+	p.logAvailability()
 	p.Flush()
 }
 
--- a/internal/verification/invariants/check_test.go
+++ b/internal/verification/invariants/check_test.go
@@ -95,6 +95,10 @@
 		{"attempt after drain", append(executedAttempt(5.6, 5.7, 51, "a", "x", "again"), request(5.5, 52, "x", "again"),
 			response(5.8, 52, "x", "again", Succeeded)), func(v Verdict) int { return v.SentAfterDrain }},
 		{"load command after drain", []Record{loadCommand(5.6)}, func(v Verdict) int { return v.SentAfterDrain }},
+		{"load command after a drain that counted as received before its record", []Record{
+			{At: 5.9, Kind: EndpointUpdated, FrontEnd: "a", Worker: "late", EndpointState: "draining", NoticedAt: 5},
+			{At: 6, Kind: LoadCommanded, FrontEnd: "a", Worker: "late", Replicas: 1},
+		}, func(v Verdict) int { return v.SentAfterDrain }},
 		{"cold worker overloaded", overload, func(v Verdict) int { return v.WarmUpOverloads }},
 		{"cold worker failed", []Record{{At: 7, Kind: WorkerOverloaded, Worker: "b"}}, func(v Verdict) int { return v.WarmUpOverloads }},
 		{"too many load commands", []Record{loadCommand(3.2), loadCommand(3.3)}, func(v Verdict) int { return v.ExcessLoadCommands }},
--- a/internal/verification/invariants/record.go
+++ b/internal/verification/invariants/record.go
@@ -46,11 +46,20 @@
 	CallID        uint64  `json:"call,omitempty"` // joins a request with its response, or an attempt with its end
 	Timeout       float64 `json:"wait,omitempty"` // seconds
 	Outcome       string  `json:"outcome,omitempty"`
-	Status        int     `json:"status,omitempty"` // 0 if the connection closed without a response
-	EndpointState string  `json:"phase,omitempty"`  // of the worker in the endpoint list
-	StartedAt     float64 `json:"born,omitempty"`   // start of the worker
-	Replicas      int     `json:"copies,omitempty"` // replicas that a load command asks for
-	Digest        string  `json:"digest,omitempty"` // of the version that an attempt asks for, that was executed, or that a response names
+	Status        int     `json:"status,omitempty"`  // 0 if the connection closed without a response
+	EndpointState string  `json:"phase,omitempty"`   // of the worker in the endpoint list
+	NoticedAt     float64 `json:"noticed,omitempty"` // time from which an endpoint update counts as received, if before At
+	StartedAt     float64 `json:"born,omitempty"`    // start of the worker
+	Replicas      int     `json:"copies,omitempty"`  // replicas that a load command asks for
+	Digest        string  `json:"digest,omitempty"`  // of the version that an attempt asks for, that was executed, or that a response names
+}
+
+// noticeTime returns the time from which an endpoint update counts as received.
+func (r *Record) noticeTime() float64 {
+	if r.NoticedAt > 0 {
+		return min(r.NoticedAt, r.At)
+	}
+	return r.At
 }
 
 // Write writes records as JSON lines.
--- a/internal/verification/invariants/workers.go
+++ b/internal/verification/invariants/workers.go
@@ -14,7 +14,7 @@
 			if r.EndpointState == stateServing {
 				delete(notices, key)
 			} else if _, known := notices[key]; !known {
-				notices[key] = r.At
+				notices[key] = r.noticeTime()
 			}
 		case AttemptStarted, LoadCommanded:
 			at, draining := lookupTime(notices, r.FrontEnd, r.Worker)
--- a/internal/verification/soak/notices.go
+++ b/internal/verification/soak/notices.go
@@ -75,19 +75,29 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for number := n.count[process]; number < count; number++ {
-		n.recordEvent(process, n.discovery.event(number))
+		n.recordEvent(process, n.discovery.event(number), n.noticedAt(number, frontEnd))
 	}
 	n.count[process] = max(n.count[process], count)
 }
 
+// noticedAt returns the time from which an event of an outage counts as received, also by a process that started later; 0 for
+// an event that is received when it is recorded.
+func (n *noticeLog) noticedAt(number, frontEnd int) float64 {
+	if !n.isDue(number, frontEnd) {
+		return 0
+	}
+	e := n.discovery.event(number)
+	return n.discovery.site.recorder.Now() - time.Since(e.outage.noticeTime(e.addedAt)).Seconds()
+}
+
 // recordEvent adds the records of one event.
-func (n *noticeLog) recordEvent(process string, e workerEvent) {
+func (n *noticeLog) recordEvent(process string, e workerEvent, noticedAt float64) {
 	recorder := n.discovery.site.recorder
 	state := e.state
 	if state == stateActive {
 		state = stateServing
 	}
-	recorder.Add(invariants.Record{Kind: invariants.EndpointUpdated, FrontEnd: process, Worker: e.worker.name, EndpointState: state})
+	recorder.Add(invariants.Record{Kind: invariants.EndpointUpdated, FrontEnd: process, Worker: e.worker.name, EndpointState: state, NoticedAt: noticedAt})
 	if e.startedMs > 0 && e.state == stateActive {
 		startedAt := recorder.Now() - time.Since(e.worker.startedAt).Seconds()
 		recorder.Add(invariants.Record{Kind: invariants.WorkerStarted, FrontEnd: process, Worker: e.worker.name, StartedAt: startedAt})
