Load commands count towards their quota from when they leave

Cause: the quota counted a command from its decision. Behind a slow dial (a partition) it arrived 0.7 s later, when the front end no longer counted it. Evidence: the tape has the first of the six arrive 0.7 s after its request, as the partition ended. Change: control/load_quota.go counts a command anew as its bytes leave and asks the quota again; a command that it no longer permits is not sent.

--- a/control/endpoint_lease.go
+++ b/control/endpoint_lease.go
@@ -136,11 +136,11 @@
 	return known && r.holdsLease(w)
 }
 
-// MayLoad is MaySend for a load command.
-func (r *Router) MayLoad(now units.Seconds, id WorkerID) bool {
+// MayLoad is MaySend for a load command, which must also be within the quota as it leaves.
+func (r *Router) MayLoad(now units.Seconds, id WorkerID, function FunctionID) bool {
 	r.advance(now)
 	w, known := r.workersByID[id]
-	return known && r.holdsLease(w)
+	return known && r.holdsLease(w) && r.recountLoad(id, function)
 }
 
 // MayQuery is MaySend for a query or renewal. A renewal may go to a worker that has rejected something, if it may still be
--- a/control/lease_admission_test.go
+++ b/control/lease_admission_test.go
@@ -36,7 +36,7 @@
 		}
 		for i, endpoint := range endpoints {
 			w := h.router.workersByID[endpoint.ID]
-			if isProven := i < c.proven; h.router.mayUse(w) != isProven || h.router.MaySend(h.now, w.id) != isProven || h.router.MayLoad(h.now, w.id) != isProven {
+			if isProven := i < c.proven; h.router.mayUse(w) != isProven || h.router.MaySend(h.now, w.id) != isProven || h.router.MayLoad(h.now, w.id, "f") != isProven {
 				t.Errorf("%s: worker %d, proven %v: may be used %v", name, i, isProven, !isProven)
 			}
 		}
@@ -66,7 +66,7 @@
 		h.expect(t, nil, nil)
 		h.router.workersByID[h.home].lease.isAsked = true
 		h.answerQuery(h.home, Succeeded, 1)
-		if h.router.MaySend(h.now, h.home) || h.router.MayLoad(h.now, h.home) {
+		if h.router.MaySend(h.now, h.home) || h.router.MayLoad(h.now, h.home, "f") {
 			t.Errorf("%s: an answer to a query is taken for a proof", name)
 		}
 		h.request("b")
--- /dev/null
+++ b/control/load_quota.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"slices"
+
+	"streamcleat/internal/units"
+)
+
+// The quota on load commands: how many of them may reach the workers within a window. A command counts from its decision
+// on, and once more from when its bytes leave, as a dial may have held it up for most of the window.
+
+// countedLoad is a load command that counts towards the quota.
+type countedLoad struct {
+	worker    WorkerID
+	function  FunctionID
+	countedAt units.Seconds
+}
+
+// mayCommandLoad reports whether the deployment and its quota permit another load command.
+func (r *Router) mayCommandLoad() bool {
+	window := r.deployment.LoadCommandWindow
+	if !r.deployment.LoadCommandsAllowed || window <= 0 {
+		return r.deployment.LoadCommandsAllowed
+	}
+	r.requestTimes = r.pruneTimes(r.requestTimes, window)
+	r.pruneCountedLoads()
+	requests, commands := float64(len(r.requestTimes)), float64(len(r.countedLoads)+1)
+	return commands <= r.deployment.LoadCommandAllowance+r.deployment.LoadCommandsPerRequest*requests
+}
+
+// countLoad counts a load command that is sent now.
+func (r *Router) countLoad(worker WorkerID, function FunctionID) {
+	if r.deployment.LoadCommandWindow > 0 {
+		r.pruneCountedLoads()
+		r.countedLoads = append(r.countedLoads, countedLoad{worker, function, r.now})
+	}
+}
+
+// recountLoad counts a load command anew as its bytes leave, and reports whether the quota still permits it.
+func (r *Router) recountLoad(worker WorkerID, function FunctionID) bool {
+	i := slices.IndexFunc(r.countedLoads, func(c countedLoad) bool { return c.worker == worker && c.function == function })
+	if i >= 0 {
+		r.countedLoads = slices.Delete(r.countedLoads, i, i+1)
+	}
+	if !r.mayCommandLoad() {
+		return false
+	}
+	r.countLoad(worker, function)
+	return true
+}
+
+// pruneCountedLoads removes the load commands that are older than the window.
+func (r *Router) pruneCountedLoads() {
+	r.countedLoads = slices.DeleteFunc(r.countedLoads, func(c countedLoad) bool {
+		return c.countedAt <= r.now-r.deployment.LoadCommandWindow
+	})
+}
--- a/control/replica_loading.go
+++ b/control/replica_loading.go
@@ -50,17 +50,6 @@
 	return false
 }
 
-// mayCommandLoad reports whether the deployment and its quota permit another load command.
-func (r *Router) mayCommandLoad() bool {
-	if !r.deployment.LoadCommandsAllowed || r.deployment.LoadCommandWindow <= 0 {
-		return r.deployment.LoadCommandsAllowed
-	}
-	r.requestTimes = r.pruneTimes(r.requestTimes, r.deployment.LoadCommandWindow)
-	r.loadCommandTimes = r.pruneTimes(r.loadCommandTimes, r.deployment.LoadCommandWindow)
-	requests, commands := float64(len(r.requestTimes)), float64(len(r.loadCommandTimes)+1)
-	return commands <= r.deployment.LoadCommandAllowance+r.deployment.LoadCommandsPerRequest*requests
-}
-
 // pickLoadTarget returns the first worker in rendezvous order that is not busy, or else the least-loaded one. If
 // several replicas are missing it picks at random among as many workers, so that front ends load them concurrently
 // rather than one after another.
@@ -104,7 +93,7 @@
 // sendLoadCommand sends the load command that commandLoad decided on.
 func (r *Router) sendLoadCommand(fn *function, w *worker) {
 	fn.loadCommandedAt = r.now
-	r.loadCommandTimes = append(r.pruneTimes(r.loadCommandTimes, r.deployment.LoadCommandWindow), r.now)
+	r.countLoad(w.id, fn.id)
 	r.host.LoadReplicas(w.id, fn.id, 1)
 }
 
--- a/internal/dispatch/send_permit.go
+++ b/internal/dispatch/send_permit.go
@@ -71,7 +71,7 @@
 		return d.countDenial(DenySend(DeniedLeaseExpired))
 	case load.isQuery:
 		load.sentAt, load.isWritten = d.now, true
-	case !d.router.MayLoad(d.now, load.worker):
+	case !d.router.MayLoad(d.now, load.worker, load.function):
 		return d.countDenial(DenySend(DeniedLeaseExpired))
 	}
 	return PermitSend(d.settings.LoadTimeout)
