The state folder is opened anew after a failed write

Cause: the library panics on the first failed write of its log, and the store kept that error for the life of the process. A fence ends the file operations of the one that was given up; the store itself holds the lock of the folder, also in between. TestStore_AcceptsWritesAfterDiskRecovers (ENOSPC and EIO, three times each, then a crash) fails without the reopening.

--- a/internal/storage/batch.go
+++ b/internal/storage/batch.go
@@ -72,18 +72,23 @@
 	return true
 }
 
-// recordFailure makes the store reject all further writes, because the state on disk after a failed sync is unknown.
+// recordFailure makes the store reject further writes, because the state on disk after a failed sync is unknown, until the
+// database has been opened anew.
 func (s *Store) recordFailure(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.writeErr == nil {
-		s.options.Log.Error("state write failed, rejecting further writes", "error", err)
+	if s.writeErr != nil {
+		return
 	}
+	s.options.Log.Error("state write failed, rejecting writes until the state can be opened anew", "error", err)
 	s.writeErr = err
+	s.scheduleReopen()
 }
 
 // commitBatch commits the writes and the current service time as one batch and waits for the sync.
 func (s *Store) commitBatch(writes []pendingWrite) (err error) {
+	s.databaseMu.RLock()
+	defer s.databaseMu.RUnlock()
 	if s.libraryFailed.Load() {
 		return ErrEngineFailed
 	}
--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -191,6 +191,43 @@
 	t.Logf("%d crash points, each with 3 seeds", writes)
 }
 
+// After a full disk the store accepts writes again by itself, as often as that happens, and keeps what it had committed.
+func TestStore_AcceptsWritesAfterDiskRecovers(t *testing.T) {
+	for _, cause := range []error{syscall.ENOSPC, syscall.EIO} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			t.Parallel()
+			injector, disk, clock := &faultInjector{err: cause}, vfs.NewCrashableMem(), &fakeClock{boot: "a"}
+			options := Options{FS: errorfs.Wrap(disk, injector), Clock: clock.now, Retention: testRetention}
+			s, _, err := OpenStore("state", options)
+			if err != nil {
+				t.Fatal(err)
+			}
+			const outages = 3
+			for outage := range outages {
+				mustCommit(t, s, newRecord(dispatch.RecordAttemptStarted, "once", strconv.Itoa(outage), 0))
+				injector.failAt.Store(injector.writes.Load() + 1)
+				if commit(s, newRecord(dispatch.RecordAttemptStarted, "once", "rejected", 0)) == nil {
+					t.Fatal("commit succeeded on a full disk")
+				}
+				time.Sleep(2 * reopenInterval) // also an attempt to open it anew fails
+				injector.failAt.Store(0)
+				deadline := time.Now().Add(2 * time.Second)
+				for s.Err() != nil && time.Now().Before(deadline) {
+					time.Sleep(reopenInterval / 50)
+				}
+			}
+			mustCommit(t, s, newRecord(dispatch.RecordAttemptStarted, "once", "last", 0))
+			_, state, err := OpenStore("state", Options{FS: disk.CrashClone(vfs.CrashCloneCfg{}), Clock: clock.now, Retention: testRetention})
+			if err != nil || state.QuarantinePath != "" || len(state.Records) < outages+1 {
+				t.Errorf("after a crash: %v, %d records, quarantine %q", err, len(state.Records), state.QuarantinePath)
+			}
+			if err := s.Close(); err != nil {
+				t.Error("close:", err)
+			}
+		})
+	}
+}
+
 func TestStore_RejectsWritesAfterDiskFullOrFailedSync(t *testing.T) {
 	for _, cause := range []error{syscall.ENOSPC, syscall.EIO} {
 		t.Run(cause.Error(), func(t *testing.T) {
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -77,17 +77,25 @@
 }
 
 // pebbleLogger implements pebble.Logger. It logs Pebble's errors and discards its informational messages.
-type pebbleLogger struct{ log *slog.Logger }
+type pebbleLogger struct {
+	log   *slog.Logger
+	fence *fence // of the database
+}
 
 // Infof discards the message.
 func (pebbleLogger) Infof(string, ...any) {}
 
 // Errorf logs an error.
-func (l pebbleLogger) Errorf(format string, args ...any) { l.log.Error(fmt.Sprintf(format, args...)) }
+func (l pebbleLogger) Errorf(format string, args ...any) {
+	if !l.fence.isClosed.Load() {
+		l.log.Error(fmt.Sprintf(format, args...))
+	}
+}
 
 // Fatalf logs an error and panics. Pebble expects it to end the process; the store instead recovers the panic, so that
-// the appliance continues to serve requests that need no storage.
+// the appliance continues to serve requests that need no storage. Of a database that was given up it ends the goroutine.
 func (l pebbleLogger) Fatalf(format string, args ...any) {
+	l.fence.exitIfClosed()
 	l.log.Error(fmt.Sprintf(format, args...))
 	panic(fmt.Errorf(format, args...))
 }
--- a/internal/storage/quarantine.go
+++ b/internal/storage/quarantine.go
@@ -25,12 +25,12 @@
 	if err := options.FS.MkdirAll(dir, stateFolderMode); err != nil {
 		return nil, nil, fmt.Errorf("state folder %s: %w", dir, err)
 	}
-	db, err := openDatabase(dir, options)
+	db, fence, err := openDatabase(dir, options)
 	if err != nil {
 		return nil, nil, fmt.Errorf("state folder %s: %w", dir, err)
 	}
 	state.QuarantinePath, state.Created, state.CleanShutdown = path, false, false
-	s, err := newStore(db, options)
+	s, err := newStore(dir, db, fence, options)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/storage/retention.go
+++ b/internal/storage/retention.go
@@ -11,12 +11,7 @@
 // Expire deletes records that are older than the retention. It examines at most limit expiry keys and returns how many
 // it examined; fewer than limit means that no more are due.
 func (s *Store) Expire(limit int) (examined int, err error) {
-	if s.libraryFailed.Load() {
-		return 0, ErrEngineFailed
-	}
-	defer s.recoverPanic(&err)
-	now := s.now()
-	mutations, count, err := s.expiryDeletions(limit, now)
+	mutations, count, err := s.expiryDeletions(limit, s.now())
 	if err != nil || len(mutations) == 0 {
 		return count, err
 	}
@@ -26,6 +21,12 @@
 // expiryDeletions returns the mutations that delete up to limit due expiry keys and their expired records, and the number
 // of keys examined.
 func (s *Store) expiryDeletions(limit int, now Timestamp) (mutations []mutation, examined int, err error) {
+	s.databaseMu.RLock()
+	defer s.databaseMu.RUnlock()
+	if s.libraryFailed.Load() {
+		return nil, 0, ErrEngineFailed
+	}
+	defer s.recoverPanic(&err)
 	upper := expiryKey(max(now.ServiceTime-s.options.Retention, 0), nil)
 	iterator, err := s.db.NewIter(&pebble.IterOptions{LowerBound: expiryPrefix, UpperBound: upper})
 	if err != nil {
@@ -64,6 +65,8 @@
 
 // Size returns the size of the database on disk in bytes.
 func (s *Store) Size() uint64 {
+	s.databaseMu.RLock()
+	defer s.databaseMu.RUnlock()
 	if s.libraryFailed.Load() {
 		return 0
 	}
@@ -75,6 +78,8 @@
 	if err := s.Err(); err != nil {
 		return err
 	}
+	s.databaseMu.RLock()
+	defer s.databaseMu.RUnlock()
 	defer s.recoverPanic(&err)
 	return s.db.Compact(context.Background(), expiryPrefix, afterExpiryKeys, false)
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -53,13 +54,18 @@
 
 // Store is the durable state of one appliance. It is safe for concurrent use.
 type Store struct {
-	db                 *pebble.DB
+	dir                string
+	lock               io.Closer // of the folder
 	options            Options
 	startedAt          Timestamp
 	initialServiceTime float64 // service time at startup, in seconds
 
+	databaseMu sync.RWMutex // guards the fields below, up to the blank line, and is held by all calls of the library
+	db         *pebble.DB
+	fence      *fence // of db
+
 	mu       sync.Mutex // guards the fields below, up to the blank line
-	writeErr error      // error of the failed write; all later writes are rejected with it
+	writeErr error      // error of the failed write; later writes are rejected with it until the database is opened anew
 	queue    []pendingWrite
 	closed   bool
 
@@ -81,12 +87,29 @@
 	if err := checkWritable(dir, options.FS); err != nil {
 		return nil, nil, fmt.Errorf("state folder %s is not writable: %w", dir, err)
 	}
-	db, err := openDatabase(dir, options)
+	lock, err := lockFolder(dir, options.FS)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, state, err := openLockedStore(dir, options)
+	if err != nil {
+		return nil, nil, errors.Join(err, lock.Close())
+	}
+	if s.lock = lock; state.QuarantinePath != "" { // the locked folder was renamed
+		_ = lock.Close() // of a file that nobody opens any more
+		if s.lock, err = lockFolder(dir, options.FS); err != nil {
+			return nil, nil, errors.Join(err, s.Close())
+		}
+	}
+	return s, state, nil
+}
+
+// openLockedStore is OpenStore for a folder that is locked.
+func openLockedStore(dir string, options Options) (*Store, *RecoveredState, error) {
+	db, fence, err := openDatabase(dir, options)
 	switch {
 	case err == nil:
-		return recoverStore(dir, db, options)
-	case isLocked(err):
-		return nil, nil, fmt.Errorf("state folder %s: %w", dir, ErrInUse)
+		return recoverStore(dir, db, fence, options)
 	case isCorruption(err):
 		return replaceCorruptStore(dir, options, newRecoveredState(), err)
 	}
@@ -95,10 +118,10 @@
 
 // recoverStore reads the state of an open database and starts the store. It replaces a corrupt database. After any other
 // error, such as a transient disk failure or an unsupported format, the database is left untouched.
-func recoverStore(dir string, db *pebble.DB, options Options) (*Store, *RecoveredState, error) {
+func recoverStore(dir string, db *pebble.DB, fence *fence, options Options) (*Store, *RecoveredState, error) {
 	state, err := readState(db, options)
 	if err == nil {
-		s, err := newStore(db, options)
+		s, err := newStore(dir, db, fence, options)
 		return s, state, err
 	}
 	_ = db.Close() // the read's error is returned
@@ -124,27 +147,31 @@
 }
 
 // openDatabase opens or creates the database in dir.
-func openDatabase(dir string, options Options) (db *pebble.DB, err error) {
+func openDatabase(dir string, options Options) (db *pebble.DB, fence *fence, err error) {
 	defer recoverLibraryPanic(&err)
+	fs, fence := newDatabaseFS(options.FS)
 	listener := &pebble.EventListener{
 		DataCorruption: func(info pebble.DataCorruptionInfo) { // without this callback Pebble treats corruption as fatal
 			options.Log.Error("state corruption detected", "file", info.Path, "error", info.Details)
 		},
 	}
-	return pebble.Open(dir, &pebble.Options{
-		FS:                          options.FS,
-		Logger:                      pebbleLogger{options.Log},
+	db, err = pebble.Open(dir, &pebble.Options{
+		FS:                          fs,
+		Logger:                      pebbleLogger{options.Log, fence},
 		MemTableSize:                memTableSize,
 		MemTableStopWritesThreshold: memTablesBeforeStall,
 		FormatMajorVersion:          pebble.FormatNewest,
 		EventListener:               listener,
 	})
+	return db, fence, err
 }
 
 // newStore starts a store on an open database and clears its mark of a clean shutdown.
-func newStore(db *pebble.DB, options Options) (*Store, error) {
+func newStore(dir string, db *pebble.DB, fence *fence, options Options) (*Store, error) {
 	s := &Store{
+		dir:           dir,
 		db:            db,
+		fence:         fence,
 		options:       options,
 		startedAt:     options.Clock(),
 		wake:          make(chan struct{}, 1), // one wake-up covers all writes queued before it is received
@@ -166,7 +193,7 @@
 	return s, nil
 }
 
-// Err returns the error that made the store reject writes, or nil.
+// Err returns the error for which the store rejects writes at present, or nil.
 func (s *Store) Err() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,9 +230,15 @@
 	return s.closeDatabase()
 }
 
-// closeDatabase closes the database, or returns ErrEngineFailed if the library must not be called.
+// closeDatabase closes the database and unlocks its folder. It returns ErrEngineFailed if the library must not be called.
 func (s *Store) closeDatabase() (err error) {
+	s.databaseMu.Lock()
+	defer s.databaseMu.Unlock()
+	if s.lock != nil { // nil while the store is being opened
+		defer func() { err = errors.Join(err, s.lock.Close()) }()
+	}
 	if s.libraryFailed.Load() {
+		s.giveUpDatabase()
 		return ErrEngineFailed
 	}
 	defer s.recoverPanic(&err)
