A front end exits before the platform's kill although clients have not read

Operators saw: front ends killed at their stop. Cause: with a client that has not read its response the exit was due at the very moment of the kill, or up to one poll later. Change: the exit is due 50 ms before it (exitTime). Responses that were written stay in the kernel's buffers. Result: the new case of TestShutdown_Phases fails without the change (still flushing at 1.08 s).

--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -27,6 +27,8 @@
 	maxCountedTimeout = 3.0
 	// flushTime is the time reserved before the kill for sending the last responses.
 	flushTime = 0.25
+	// exitTime is the time before the kill at which the process exits although clients have not read their responses.
+	exitTime = 0.05
 )
 
 // Shutdown is the state of a graceful shutdown.
@@ -45,7 +47,7 @@
 func (s *Shutdown) Advance(elapsed units.Seconds, left Outstanding) ShutdownPhase {
 	killAt := min(s.MaxRequestTimeout, maxCountedTimeout) + killDelay
 	if s.answeredAt > 0 {
-		if !left.UnreadResponses || elapsed >= max(killAt, s.answeredAt+flushTime) {
+		if !left.UnreadResponses || elapsed >= max(killAt, s.answeredAt+flushTime)-exitTime {
 			return Terminated
 		}
 		return Flushing
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -25,6 +25,12 @@
 			}
 		}
 	}
+	early := Shutdown{MaxRequestTimeout: 0.4} // killed 1.1 s after the signal
+	for _, o := range []observation{{0.86, open, Answering}, {1, unread, Flushing}, {1.08, unread, Terminated}} {
+		if got := early.Advance(o.elapsed, o.left); got != o.want {
+			t.Errorf("client that never reads, early kill: phase %[2]d at %[1]v, want %[3]d", o.elapsed, got, o.want)
+		}
+	}
 	if s := (Shutdown{MaxRequestTimeout: 1.5}); s.Advance(2, open) != Answering {
 		t.Error("phase does not account for the earlier kill of a shorter timeout")
 	}
