Open Inference: a dial that fails for lack of local resources is no evidence about its worker

Operators saw: a shortage of descriptors of this machine made workers count as unreachable, with their replicas gone and loads started elsewhere. Cause: OnDialed reported upstream.ErrLocal like a refused connection. Change: such an attempt is reported as not sent; load commands stay unreachable, so that another worker is tried. Result: TestOnDialed_LocalFailureIsNoEvidence fails without the change (unreachable).

--- a/internal/upstream/openinference/pool_test.go
+++ b/internal/upstream/openinference/pool_test.go
@@ -137,6 +137,24 @@
 	}
 }
 
+// A dial that fails for lack of local resources, as of descriptors, is no evidence about the worker.
+func TestOnDialed_LocalFailureIsNoEvidence(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		want control.Outcome
+	}{
+		"refused":                 {errors.New("connection refused"), control.Unreachable},
+		"descriptors are used up": {fmt.Errorf("socket: %w", upstream.ErrLocal), control.NotSent},
+	} {
+		fixture := newPoolFixture(t)
+		fixture.sendAttempt(0, 1)
+		fixture.pool.OnDialed(0.1, fixture.dials[0], c.err)
+		if got := fixture.outcomes[1]; len(got) != 1 || got[0] != c.want {
+			t.Errorf("%s: outcomes %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 func TestPool_ReusesAndLimitsConnections(t *testing.T) {
 	fixture := newPoolFixture(t)
 	fixture.sendAttempt(1, 1)
--- a/internal/upstream/openinference/receive.go
+++ b/internal/upstream/openinference/receive.go
@@ -1,6 +1,9 @@
 package openinference
 
 import (
+	"errors"
+
+	"streamcleat/control"
 	"streamcleat/internal/dispatch"
 	"streamcleat/internal/http1"
 	"streamcleat/internal/units"
@@ -15,7 +18,7 @@
 	case err != nil:
 		p.remove(c)
 		if c.exchange != nil {
-			p.Exchanges.FinishLost(c.exchange)
+			p.failDial(c.exchange, err)
 		}
 	case c.exchange == nil:
 		p.setIdle(now, c)
@@ -24,6 +27,16 @@
 	}
 }
 
+// failDial reports an exchange that waited for a dial which failed. An attempt whose dial failed for lack of local resources
+// was not sent, which is no evidence about the worker and its replicas.
+func (p *Pool) failDial(e *exchange, err error) {
+	if errors.Is(err, upstream.ErrLocal) && !e.IsLoad {
+		p.Exchanges.Finish(e, dispatch.WorkerReply{Outcome: control.NotSent}, 0)
+		return
+	}
+	p.Exchanges.FinishLost(e)
+}
+
 // OnData handles bytes from a worker.
 func (p *Pool) OnData(now units.Seconds, id upstream.ConnID, data []byte) {
 	c := p.Connections.Get(id)
