Open Inference: closing all connections tells what was written from what only waited for a dial

Callers saw: when a front end stops, requests that were never written counted as possibly executed, so that those that must not be repeated failed instead of being rejected with a retry time. Cause: CloseAll reported every open exchange as a lost connection. The pool of the platform's frames told them apart already. Change: the outcome is that of any lost connection: unreachable unless bytes were handed to the kernel. Result: TestCloseAll_ReportsByWhatWasSent fails without the change.

--- a/internal/upstream/openinference/pool.go
+++ b/internal/upstream/openinference/pool.go
@@ -7,7 +7,6 @@
 	"slices"
 
 	"streamcleat/control"
-	"streamcleat/internal/dispatch"
 	"streamcleat/internal/http1"
 	"streamcleat/internal/units"
 	"streamcleat/internal/upstream"
@@ -150,7 +149,7 @@
 		}
 		p.close(c)
 		if c.exchange != nil {
-			p.Exchanges.Finish(c.exchange, dispatch.WorkerReply{Outcome: control.ConnectionLost}, 0)
+			p.Exchanges.FinishLost(c.exchange)
 		}
 	}
 }
--- a/internal/upstream/openinference/pool_test.go
+++ b/internal/upstream/openinference/pool_test.go
@@ -155,6 +155,23 @@
 	}
 }
 
+// What was written may have been executed; what only waited for a dial was not.
+func TestCloseAll_ReportsByWhatWasSent(t *testing.T) {
+	for name, dialed := range map[string]bool{"waits for a dial": false, "written": true} {
+		fixture := newPoolFixture(t)
+		fixture.sendAttempt(0, 1)
+		want := control.Unreachable
+		if dialed {
+			fixture.pool.OnDialed(0.1, fixture.dials[0], nil)
+			want = control.ConnectionLost
+		}
+		fixture.pool.CloseAll(0.2)
+		if got := fixture.outcomes[1]; len(got) != 1 || got[0] != want {
+			t.Errorf("%s: outcomes %v, want %v", name, got, want)
+		}
+	}
+}
+
 func TestPool_ReusesAndLimitsConnections(t *testing.T) {
 	fixture := newPoolFixture(t)
 	fixture.sendAttempt(1, 1)
