A retry of a keyed request ends with the deduplication window

The router still gave a retry its client's whole deadline, 2.5 s where 1.5 s of the window were left. Change: the time left of such an attempt ends with the window; the permit before each write denies what is over by then. Result: TestRetry_EndsWithDeduplicationWindow fails without the change.

--- a/control/endpoint_lease_test.go
+++ b/control/endpoint_lease_test.go
@@ -19,9 +19,10 @@
 type leaseHost struct {
 	router   *Router
 	now      units.Seconds
-	attempts []string // request and worker
-	loads    []string // worker and function
-	queries  []string // worker, function and replicas
+	attempts []string        // request and worker
+	timeLeft []units.Seconds // of the attempts
+	loads    []string        // worker and function
+	queries  []string        // worker, function and replicas
 	rejected []RequestID
 	home     WorkerID // has loaded function f
 	drains   int      // drain messages broadcast
@@ -32,7 +33,8 @@
 	answersDueAt units.Seconds // when the wait for answers of peers ends; 0 if there is none
 }
 
-func (h *leaseHost) StartAttempt(id RequestID, worker WorkerID, _ units.Seconds) {
+func (h *leaseHost) StartAttempt(id RequestID, worker WorkerID, timeLeft units.Seconds) {
+	h.timeLeft = append(h.timeLeft, timeLeft)
 	h.attempts = append(h.attempts, fmt.Sprint(id, "@", worker))
 }
 
--- a/control/rules.go
+++ b/control/rules.go
@@ -1,5 +1,7 @@
 package control
 
+import "streamcleat/internal/units"
+
 // requestRule decides a pending request, or reports false to leave it to the next rule.
 type requestRule func(r *Router, req *request) bool
 
@@ -73,6 +75,16 @@
 	req.awaitsLoad = !r.isWarm(req.function.replicaOn(w))
 	r.recordAttemptStart(req, w)
 	r.useSlowStartCredit(w)
-	r.host.StartAttempt(req.ID, w.id, req.deadline-r.now)
+	r.host.StartAttempt(req.ID, w.id, r.attemptTimeLeft(req))
 	return true
 }
+
+// attemptTimeLeft returns the time until an attempt must have begun to execute: its client's deadline, or the end of the
+// deduplication window if an earlier attempt may have been executed and the worker then forgets its idempotency key.
+func (r *Router) attemptTimeLeft(req *request) units.Seconds {
+	deadline := req.deadline
+	if req.possiblyExecuted && req.class.Semantics == IdempotentByKey {
+		deadline = min(deadline, req.firstExecutionAt+req.class.DeduplicationWindow)
+	}
+	return deadline - r.now
+}
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"strconv"
 	"testing"
@@ -25,6 +26,30 @@
 	}
 }
 
+// An attempt that repeats one which may have been executed ends with the deduplication window: its worker forgets the
+// idempotency key then, and would execute the request again.
+func TestRetry_EndsWithDeduplicationWindow(t *testing.T) {
+	for _, c := range []struct {
+		semantics DeliverySemantics
+		window    units.Seconds
+		want      units.Seconds // of the retry, half a second after the first attempt
+	}{{IdempotentByKey, 2, 1.5}, {IdempotentByKey, 9, 2.5}, {Idempotent, 2, 2.5}} {
+		h := newLeaseHost()
+		class := &h.router.deployment.RequestClasses[0]
+		class.Semantics, class.DeduplicationWindow, class.DeduplicationScope = c.semantics, c.window, ScopeFleet
+		h.request("a")
+		h.now += 0.5
+		h.router.OnDiscoveryHeard(h.now, h.now)
+		h.endAttempt("a", h.home, Failed, 0.5)
+		h.loaded("w0")
+		h.loaded("w1")
+		h.loaded("w2")
+		if len(h.timeLeft) != 3 || math.Abs(float64(h.timeLeft[2]-c.want)) > 1e-6 {
+			t.Errorf("semantics %v, window %v: time left to the attempts %v, want %v for the last", c.semantics, c.window, h.timeLeft, c.want)
+		}
+	}
+}
+
 func runRandomScenario(seed int64) *simulatedFleet {
 	rnd := rand.New(rand.NewSource(seed))
 	fleet := newSimulatedFleet(seed, randomDeployment(rnd), 1+rnd.Intn(8))
