CloudEvents of another version than 1.0 are rejected in structured mode too

Callers saw: an event of specversion 0.3 was taken in structured mode and refused in binary mode, and passed on as one of 1.0. Cause: the version was compared only where the mode is told from the header; the SDK reads 0.3 from the body. Result: TestFeed_RejectsOtherSpecVersions fails without the change (structured mode submitted it).

--- a/internal/downstream/cloudevents/request.go
+++ b/internal/downstream/cloudevents/request.go
@@ -130,6 +130,9 @@
 	if err := event.Validate(); err != nil {
 		return nil, invalidEventf("%s", validationDetail(err))
 	}
+	if version := event.SpecVersion(); version != specVersion {
+		return nil, invalidEventf("attribute specversion: %q is not 1.0", version)
+	}
 	return event, nil
 }
 
--- a/internal/downstream/cloudevents/session_test.go
+++ b/internal/downstream/cloudevents/session_test.go
@@ -291,6 +291,20 @@
 	}
 }
 
+// Both modes take the same version only.
+func TestFeed_RejectsOtherSpecVersions(t *testing.T) {
+	structured := `{"specversion":"0.3","source":"/t","id":"1","type":"shop-event","function":"tally"}`
+	for name, text := range map[string]string{
+		"binary":     strings.Replace(event("1", "", "{}"), "1.0\r\nce-source", "0.3\r\nce-source", 1),
+		"structured": fmt.Sprintf("POST / HTTP/1.1\r\nHost: f\r\nContent-Type: application/cloudevents+json\r\nContent-Length: %d\r\n\r\n%s", len(structured), structured),
+	} {
+		handler := newFakeHandler()
+		if out := handler.feed(text); !strings.HasPrefix(out, "HTTP/1.1 400") || !strings.Contains(out, `\"0.3\" is not 1.0`) || len(handler.requests) > 0 {
+			t.Errorf("%s mode: %q, %d requests", name, out, len(handler.requests))
+		}
+	}
+}
+
 func FuzzSession(f *testing.F) {
 	f.Add([]byte(event("1", "Prefer: wait=3\r\n", "{}")), 20)
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: f\r\nContent-Type: application/cloudevents+json\r\nContent-Length: 2\r\n\r\n{}"), 3)
