The search for a quarantine path ends if the disk can't be read

Operators saw: a start on a corrupt store never ended, without a line, if looking up a free path next to the folder kept failing. Cause: any error of Stat but "does not exist" counted as a path in use, and the loop has no end. Change: such an error ends the start, with the folder and the corruption that led there. Result: TestQuarantinePath_EndsOnError returns the disk's error. The old loop was not run: it does not end by its text.

--- a/internal/storage/quarantine.go
+++ b/internal/storage/quarantine.go
@@ -16,7 +16,10 @@
 // replaceCorruptStore quarantines a corrupt store and creates a new one from the part that could be read. cause is the
 // error that showed the corruption.
 func replaceCorruptStore(dir string, options Options, state *RecoveredState, cause error) (*Store, *RecoveredState, error) {
-	path := quarantinePath(dir, options.FS)
+	path, err := quarantinePath(dir, options.FS)
+	if err != nil {
+		return nil, nil, fmt.Errorf("state folder %s: failed to quarantine corrupt store (%w): %w", dir, cause, err)
+	}
 	if err := options.FS.Rename(dir, path); err != nil {
 		return nil, nil, fmt.Errorf("state folder %s: failed to quarantine corrupt store (%w): %w", dir, cause, err)
 	}
@@ -42,11 +45,15 @@
 }
 
 // quarantinePath returns an unused path next to the folder.
-func quarantinePath(dir string, fs vfs.FS) string {
+func quarantinePath(dir string, fs vfs.FS) (string, error) {
 	for number := 1; ; number++ {
 		path := fmt.Sprintf("%s.set-aside-%d", strings.TrimRight(dir, "/"), number)
-		if _, err := fs.Stat(path); errors.Is(err, os.ErrNotExist) {
-			return path
+		_, err := fs.Stat(path)
+		if errors.Is(err, os.ErrNotExist) {
+			return path, nil
+		}
+		if err != nil {
+			return "", err
 		}
 	}
 }
--- a/internal/storage/quarantine_test.go
+++ b/internal/storage/quarantine_test.go
@@ -1,12 +1,17 @@
 package storage
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
+
 	"streamcleat/internal/dispatch"
 )
 
@@ -35,6 +40,14 @@
 	}
 }
 
+// A folder whose neighbors can't be read is not searched forever.
+func TestQuarantinePath_EndsOnError(t *testing.T) {
+	failing := errorfs.InjectorFunc(func(errorfs.Op) error { return syscall.EIO })
+	if path, err := quarantinePath("state", errorfs.Wrap(vfs.NewMem(), failing)); !errors.Is(err, syscall.EIO) {
+		t.Errorf("path %q, error %v", path, err)
+	}
+}
+
 func flipTableBits(name string, data []byte) []byte {
 	if strings.HasSuffix(name, ".sst") {
 		for i := range data {
