An appliance at its descriptor limit tells further clients instead of closing them without a word

Callers saw: while others held all connections with incomplete requests, a new client was closed unanswered (EOF after its request). Cause: beyond the limit a connection was closed at its accept, unless an idle one could be evicted. Change: four overflow connections for each front end of an appliance, on which each request is rejected with a retry time; their clients have a second to send it. A response written at the accept was tried first: HTTP clients take it for an unsolicited one. `node` is unchanged.

--- a/cmd/streamcleat/serve_process_test.go
+++ b/cmd/streamcleat/serve_process_test.go
@@ -57,3 +57,42 @@
 		t.Error("appliance has not exited")
 	}
 }
+
+// While clients with incomplete requests hold all connections, the requests of further ones are rejected with a retry time,
+// instead of their connections being closed without a word.
+func TestServe_TellsClientsAtDescriptorLimit(t *testing.T) {
+	t.Parallel()
+	addr := freeAddresses(t, 1)[0]
+	appliance, stderr := startServeProcess(t, addr, 128)
+	for _, conn := range dialSilently(t, addr, 128) {
+		_, _ = io.WriteString(conn, "POST /events HTTP/1.1\r\nHost: f\r\n") // one that was rejected is closed already
+	}
+	time.Sleep(1500 * time.Millisecond) // until those beyond the limit have been closed
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
+	for id := range 5 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+"/events", strings.NewReader("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, value := range map[string]string{"specversion": "1.0", "source": "/t", "id": fmt.Sprint(id), "type": "call", "function": "f"} {
+			request.Header.Set("ce-"+name, value)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatalf("%v\n%s", err, stderr)
+		}
+		body, _ := io.ReadAll(response.Body) // only for the message
+		if err := response.Body.Close(); err != nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("%s %v %s, %v", response.Status, response.Header, body, err)
+		}
+	}
+	appliance.signal(t, syscall.SIGTERM)
+	select {
+	case err := <-appliance.done:
+		if err != nil {
+			t.Error(err, stderr)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("appliance has not exited")
+	}
+}
--- a/internal/appliance/descriptors.go
+++ b/internal/appliance/descriptors.go
@@ -14,6 +14,8 @@
 	// clientFraction is the fraction of the unreserved descriptors for client connections. The rest is for connections
 	// to workers.
 	clientFraction = 2.0 / 3
+	// overflowClients is the number of further client connections of each front end, on which requests are rejected.
+	overflowClients = 4
 	// minClients is the minimum number of client connections of a front end under any limit.
 	minClients = 8
 )
@@ -31,6 +33,6 @@
 // the descriptor limit allows.
 func maxClients(configured, descriptors, frontEnds int) int {
 	reserved := reservedDescriptors + descriptors/reservedDescriptorsDivisor
-	possible := int(float64(descriptors-reserved) * clientFraction / float64(frontEnds))
+	possible := int(float64(descriptors-reserved)*clientFraction/float64(frontEnds)) - overflowClients
 	return min(configured, max(possible, minClients))
 }
--- a/internal/appliance/startup.go
+++ b/internal/appliance/startup.go
@@ -129,6 +129,7 @@
 			Upstream:         cfg.Upstream(name),
 			Downstream:       cfg.Downstream(),
 			MaxClients:       maxClients(cfg.Limits.MaxConnections, descriptorLimit(), len(cfg.Listen)),
+			OverflowClients:  overflowClients,
 			EvictIdleClients: true,
 			Log:              a.log,
 			Recovered:        a.recovered.Records,
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -23,6 +23,7 @@
 	closeAfterLastResponse bool
 	writeClosedAt          units.Seconds // time at which our side was closed; 0: open
 	discardedBytes         int           // received since then
+	overflowSince          units.Seconds // time at which it was accepted beyond the limit; 0: within it
 	closed                 bool
 }
 
@@ -41,6 +42,10 @@
 // Submit implements downstream.RequestHandler.
 func (h *clientHandler) Submit(slot uint64, request dispatch.Request) {
 	p := h.proxy
+	if h.client.overflowSince > 0 {
+		p.rejectRequest(h.client, slot, &request)
+		return
+	}
 	p.lastWaiter++
 	p.clientRequests[p.lastWaiter] = clientRequest{h.client, slot}
 	h.client.waiters[slot] = p.lastWaiter
@@ -64,11 +69,16 @@
 		p.recordClose(conn.RemoteAddr(), RejectedDraining, 0)
 		return nil
 	}
-	if len(p.clients) >= p.settings.MaxClients && !p.EvictIdleClient() {
+	isOverflow := p.isFull()
+	if isOverflow && p.overflow >= p.settings.OverflowClients {
 		p.recordClose(conn.RemoteAddr(), RejectedFull, 0)
 		return nil
 	}
 	client := &Client{conn: conn, index: len(p.clients), waiters: map[uint64]dispatch.WaiterID{}}
+	if isOverflow {
+		client.overflowSince = p.host.Now()
+		p.overflow++
+	}
 	client.session = p.settings.NewSession(&clientHandler{p, client}, p.host.Now())
 	p.clients = append(p.clients, client)
 	return client
@@ -171,6 +181,9 @@
 // backward, because removing a client moves the last one, which was already visited, to its place.
 func (p *Proxy) sweepClients(now units.Seconds) {
 	for _, client := range slices.Backward(p.clients) {
+		if p.closeIfOverdue(client, now) {
+			continue
+		}
 		if client.writeClosedAt > 0 && now-client.writeClosedAt > lingerTimeout {
 			p.closeClient(client, CloseLingered)
 			continue
@@ -188,6 +201,9 @@
 		return false
 	}
 	client.closed = true
+	if client.overflowSince > 0 {
+		p.overflow--
+	}
 	last := len(p.clients) - 1
 	p.clients[client.index], p.clients[last].index = p.clients[last], client.index
 	p.clients[last] = nil
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -24,7 +24,7 @@
 // longestIdleClient returns the client that has been idle longest, nil if none is idle.
 func (p *Proxy) longestIdleClient() (oldest *Client, idleSince units.Seconds) {
 	for _, client := range p.clients {
-		if since, idle := client.session.Idle(); idle && client.conn.Unsent() == 0 && (oldest == nil || since < idleSince) {
+		if since, idle := client.session.Idle(); idle && client.overflowSince == 0 && client.conn.Unsent() == 0 && (oldest == nil || since < idleSince) {
 			oldest, idleSince = client, since
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,9 @@
 	Downstream cloudevents.Limits
 	// MaxClients is the maximum number of client connections.
 	MaxClients int
+	// OverflowClients is the maximum number of further connections, whose requests are rejected: their clients are told that
+	// MaxClients is reached instead of being closed without a word.
+	OverflowClients int
 	// EvictIdleClients closes the connection that has been idle longest, instead of rejecting a new one at MaxClients.
 	EvictIdleClients bool
 	// NewSession returns the session of a new client connection. The default speaks CloudEvents over HTTP.
@@ -59,6 +62,7 @@
 	internalWaiters map[dispatch.WaiterID]func(dispatch.Response) // submitted by Proxy.Submit
 
 	clients       []*Client
+	overflow      int // number of those beyond MaxClients
 	upstreamConns map[upstream.ConnID]Conn
 	endpoints     endpointState
 	durability    durabilityBarrier
