The goroutine of the schedules ends with them

Cause: it slept until the next firing, up to a second, and looked only then whether the schedules had been suspended by the stop. Change: schedules run in a context that their suspension ends; it takes the place of the flag schedulesSuspended.

--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -36,22 +36,22 @@
 
 	functions functionRegistry
 
-	mu                 sync.Mutex // guards the fields below
-	err                error      // the first failure, returned by Run
-	lifecycle          Lifecycle
-	drainDeadline      time.Time
-	servers            []*eventloop.Server
-	serverByAddress    map[string]*eventloop.Server
-	addresses          []string
-	tasks              *TaskScheduler // nil until the store is open
-	statistics         requestStatistics
-	activeConsole      consoleSession
-	plan               *schedule.Plan
-	crontab            []byte // text of the crontab in effect
-	entries            []schedule.Entry
-	suspended          map[string]bool      // entries suspended by a console, by key
-	lastFirings        map[string]time.Time // last minute for which each entry fired, by key
-	schedulesSuspended bool                 // no entry fires, in startup and shutdown
+	mu              sync.Mutex // guards the fields below
+	err             error      // the first failure, returned by Run
+	lifecycle       Lifecycle
+	drainDeadline   time.Time
+	servers         []*eventloop.Server
+	serverByAddress map[string]*eventloop.Server
+	addresses       []string
+	tasks           *TaskScheduler // nil until the store is open
+	statistics      requestStatistics
+	activeConsole   consoleSession
+	plan            *schedule.Plan
+	crontab         []byte // text of the crontab in effect
+	entries         []schedule.Entry
+	suspended       map[string]bool      // entries suspended by a console, by key
+	lastFirings     map[string]time.Time // last minute for which each entry fired, by key
+	stopSchedules   context.CancelFunc   // ends the schedules; nil until they were started
 }
 
 // postedEvent is a queued lifecycle event with its reason.
@@ -79,17 +79,16 @@
 
 func newAppliance(cfg *config.Config, log *slog.Logger, onReady func([]string)) *Appliance {
 	return &Appliance{
-		config:             cfg,
-		log:                log,
-		startedAt:          time.Now(),
-		events:             make(chan postedEvent, eventQueueCapacity),
-		onReady:            onReady,
-		recovered:          &storage.RecoveredState{Created: true},
-		serverByAddress:    map[string]*eventloop.Server{},
-		statistics:         newRequestStatistics(),
-		suspended:          map[string]bool{},
-		lastFirings:        map[string]time.Time{},
-		schedulesSuspended: true,
+		config:          cfg,
+		log:             log,
+		startedAt:       time.Now(),
+		events:          make(chan postedEvent, eventQueueCapacity),
+		onReady:         onReady,
+		recovered:       &storage.RecoveredState{Created: true},
+		serverByAddress: map[string]*eventloop.Server{},
+		statistics:      newRequestStatistics(),
+		suspended:       map[string]bool{},
+		lastFirings:     map[string]time.Time{},
 	}
 }
 
@@ -160,10 +159,9 @@
 	case Recover:
 		go a.recoverState()
 	case StartSchedules:
-		a.setSchedulesSuspended(false)
-		go a.runSchedules()
+		go a.runSchedules(a.resumeSchedules())
 	case SuspendSchedules:
-		a.setSchedulesSuspended(true)
+		a.suspendSchedules()
 	case StopListening:
 		for _, server := range a.servers {
 			_ = server.StopListening() // fails only if the event loop has ended, and with it the listener
@@ -180,11 +178,22 @@
 	}
 }
 
-// setSchedulesSuspended suspends or resumes all schedules.
-func (a *Appliance) setSchedulesSuspended(suspended bool) {
+// resumeSchedules returns a context in which the schedules run until suspendSchedules.
+func (a *Appliance) resumeSchedules() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.schedulesSuspended = suspended
+	a.stopSchedules = cancel
+	return ctx
+}
+
+// suspendSchedules ends the context of the schedules, if they run. No entry fires afterwards.
+func (a *Appliance) suspendSchedules() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopSchedules != nil {
+		a.stopSchedules()
+	}
 }
 
 // uptime returns the seconds since the process started. It is the clock of the background tasks.
--- a/internal/appliance/schedules.go
+++ b/internal/appliance/schedules.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"maps"
 	"os"
@@ -64,14 +65,14 @@
 	return min(max(time.Until(d.next), time.Millisecond), maxScheduleSleep)
 }
 
-// runSchedules fires due entries until schedules are suspended. A firing is on disk before its request is submitted, so
+// runSchedules fires due entries until ctx ends. A firing is on disk before its request is submitted, so
 // that a restart neither loses it nor fires it twice.
-func (a *Appliance) runSchedules() {
+func (a *Appliance) runSchedules(ctx context.Context) {
 	if a.config.Schedules == nil {
 		return
 	}
 	for {
-		due, running := a.takeDue()
+		due, running := a.takeDue(ctx)
 		if !running {
 			return
 		}
@@ -80,16 +81,20 @@
 				a.log.Error("failed to persist firings, schedules not fired", "firings", len(due.firings), "error", err)
 			}
 		}
-		time.Sleep(due.sleepTime())
+		select {
+		case <-time.After(due.sleepTime()):
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// takeDue removes the due firings from the plan and returns those whose entries are not suspended. running is false if
-// all schedules are suspended.
-func (a *Appliance) takeDue() (due dueFirings, running bool) {
+// takeDue removes the due firings from the plan and returns those whose entries are not suspended. running is false once ctx
+// has ended.
+func (a *Appliance) takeDue(ctx context.Context) (due dueFirings, running bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.schedulesSuspended {
+	if ctx.Err() != nil {
 		return due, false
 	}
 	for _, firing := range a.plan.TakeDue(time.Now()) {
