--- a/cmd/streamcleat/serve_process_test.go
+++ b/cmd/streamcleat/serve_process_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -74,7 +75,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for name, value := range map[string]string{"specversion": "1.0", "source": "/t", "id": fmt.Sprint(id), "type": "call", "function": "f"} {
+		for name, value := range map[string]string{"specversion": "1.0", "source": "/t", "id": strconv.Itoa(id), "type": "call", "function": "f"} {
 			request.Header.Set("ce-"+name, value)
 		}
 		response, err := client.Do(request)
