Requests for proofs to peers have the field's names

Cause: question, answer, asked were words of our own for a request between front ends and its response. No behaviour changes.

--- a/control/endpoint_lease.go
+++ b/control/endpoint_lease.go
@@ -41,11 +41,11 @@
 	clearedAt  units.Seconds // send time of the query that it answered after it had rejected one
 	usedAt     units.Seconds // time of the last attempt
 
-	isAsked  bool          // a query or a renewal awaits its result
-	retryAt  units.Seconds // no query is sent before
-	failures int           // queries without a good answer, in a row
-	function *function     // the function of the last query or rejection; nil before the first
-	waiters  []*request    // requests that wait for the result of the query
+	queryPending bool          // a query or a renewal awaits its result
+	retryAt      units.Seconds // no query is sent before
+	failures     int           // queries without a good answer, in a row
+	function     *function     // the function of the last query or rejection; nil before the first
+	waiters      []*request    // requests that wait for the result of the query
 
 	rejectedQuery  bool          // the last rejection was that of a query
 	drainConfirmed bool          // it rejected a renewal, which a full worker does not
@@ -192,4 +192,4 @@
 }
 
 // isReferenced reports whether a query or a request refers to the worker.
-func (l *workerLease) isReferenced() bool { return l.isAsked || len(l.waiters) > 0 }
+func (l *workerLease) isReferenced() bool { return l.queryPending || len(l.waiters) > 0 }
--- a/control/endpoint_lease_test.go
+++ b/control/endpoint_lease_test.go
@@ -29,8 +29,8 @@
 
 	broadcasts [][]byte
 
-	commanded    int           // replicas of the last query
-	answersDueAt units.Seconds // when the wait for answers of peers ends; 0 if there is none
+	commanded      int           // replicas of the last query
+	responsesDueAt units.Seconds // when the wait for answers of peers ends; 0 if there is none
 }
 
 func (h *leaseHost) StartAttempt(id RequestID, worker WorkerID, timeLeft units.Seconds) {
@@ -58,8 +58,8 @@
 }
 
 func (h *leaseHost) SetTimer(after units.Seconds, timer uint64) {
-	if timer == peerAnswerTimer {
-		h.answersDueAt = h.now + after
+	if timer == proofResponseTimer {
+		h.responsesDueAt = h.now + after
 	}
 }
 
@@ -120,9 +120,9 @@
 func (h *leaseHost) advance(duration units.Seconds) {
 	for ; duration > 0; duration -= tickSeconds {
 		next := h.now + min(duration, tickSeconds)
-		if h.answersDueAt > 0 && h.answersDueAt <= next {
-			h.now, h.answersDueAt = max(h.now, h.answersDueAt), 0 // a stalled process is told late
-			h.router.OnTimer(h.now, peerAnswerTimer)
+		if h.responsesDueAt > 0 && h.responsesDueAt <= next {
+			h.now, h.responsesDueAt = max(h.now, h.responsesDueAt), 0 // a stalled process is told late
+			h.router.OnTimer(h.now, proofResponseTimer)
 		}
 		h.now = next
 		h.router.OnTimer(h.now, tickTimer)
--- a/control/lease_admission.go
+++ b/control/lease_admission.go
@@ -47,7 +47,7 @@
 
 // mayBeProven reports whether a worker without a proof may get one soon, by its answer to a query or from a peer.
 func (r *Router) mayBeProven() bool {
-	return r.queriesProve() || r.awaitsPeers() || r.mayAskPeers()
+	return r.queriesProve() || r.awaitsProofs() || r.mayRequestProofs()
 }
 
 // queriesProve reports whether a worker that answers a query serves.
--- a/control/lease_admission_test.go
+++ b/control/lease_admission_test.go
@@ -64,7 +64,7 @@
 			t.Errorf("%s: rejected %v", name, h.rejected)
 		}
 		h.expect(t, nil, nil)
-		h.router.workersByID[h.home].lease.isAsked = true
+		h.router.workersByID[h.home].lease.queryPending = true
 		h.answerQuery(h.home, Succeeded, 1)
 		if h.router.MaySend(h.now, h.home) || h.router.MayLoad(h.now, h.home, "f") {
 			t.Errorf("%s: an answer to a query is taken for a proof", name)
@@ -84,13 +84,13 @@
 		h.request("a")
 		if isProven {
 			w := h.router.workersByID[h.home]
-			answer := binary.LittleEndian.AppendUint32([]byte{answerKind}, h.router.question.number)
+			answer := binary.LittleEndian.AppendUint32([]byte{proofResponseKind}, h.router.proofRequest.number)
 			h.router.OnGossip(h.now, binary.LittleEndian.AppendUint16(answer, uint16(w.digest())))
 		}
 		if sent := slices.Equal(h.attempts, h.at("a@%s")); sent != isProven {
 			t.Errorf("%s: attempts %v", name, h.attempts)
 		}
-		h.advance(peerAnswerSeconds)
+		h.advance(peerResponseSeconds)
 		if rejected := len(h.rejected) == 1; rejected == isProven || len(h.queries)+len(h.loads) > 0 {
 			t.Errorf("%s: rejected %v, queries %v, loads %v", name, h.rejected, h.queries, h.loads)
 		}
--- a/control/lease_renewal.go
+++ b/control/lease_renewal.go
@@ -42,19 +42,19 @@
 // only noted while their messages may still arrive. It is sent then if its answer proves something.
 func (r *Router) queryWorker(w *worker, fn *function) bool {
 	if !r.hasRejected(w) {
-		r.askPeers()
+		r.requestProofs()
 	}
-	if r.awaitsPeers() {
+	if r.awaitsProofs() {
 		w.lease.function = fn
 		return false
 	}
-	return r.askWorker(w, fn, 0)
+	return r.sendQuery(w, fn, 0)
 }
 
 // sendDelayedQuery sends a query that waited for messages of peers, if requests or loads still wait for it and its answer
 // proves something. Otherwise they go on without a proof of w.
 func (r *Router) sendDelayedQuery(w *worker) bool {
-	if w.lease.isAsked || w.lease.function == nil || r.awaitsPeers() {
+	if w.lease.queryPending || w.lease.function == nil || r.awaitsProofs() {
 		return false
 	}
 	isAwaited := len(w.lease.waiters) > 0 || r.awaitsLeaseForLoad(w)
@@ -65,7 +65,7 @@
 		r.releaseWaiters(w)
 		return true
 	}
-	return r.askWorker(w, w.lease.function, 0)
+	return r.sendQuery(w, w.lease.function, 0)
 }
 
 // awaitsLeaseForLoad reports whether a load command waits for the lease of w.
@@ -73,13 +73,13 @@
 	return slices.ContainsFunc(r.functions, func(fn *function) bool { return fn.pendingLoadOn == w && fn.loadAwaitsLease })
 }
 
-// askWorker sends a query, or a renewal for a number of replicas, unless w is being asked already, and reports whether it
+// sendQuery sends a query, or a renewal for a number of replicas, unless w is being asked already, and reports whether it
 // did. The rules are applied again after an effect, so that only a real one may be reported.
-func (r *Router) askWorker(w *worker, fn *function, replicas int) bool {
-	if w.lease.isAsked {
+func (r *Router) sendQuery(w *worker, fn *function, replicas int) bool {
+	if w.lease.queryPending {
 		return false
 	}
-	w.lease.isAsked, w.lease.function = true, fn
+	w.lease.queryPending, w.lease.function = true, fn
 	r.host.QueryReplicas(w.id, fn.id, replicas, r.leaseDuration())
 	return true
 }
@@ -88,7 +88,7 @@
 // full or drains. Renewals without a rejection are limited to one for each request, so that many front ends with little
 // traffic each do not occupy the workers with them.
 func (r *Router) renewLease(w *worker) bool {
-	if !r.hasLeases() || w.state != Serving || w.lease.isAsked || !r.mayRenew(w) {
+	if !r.hasLeases() || w.state != Serving || w.lease.queryPending || !r.mayRenew(w) {
 		return false
 	}
 	fn := r.newestReplicaOn(w)
@@ -98,7 +98,7 @@
 	if !r.hasRejected(w) {
 		r.renewalCredits--
 	}
-	return r.askWorker(w, fn, 1)
+	return r.sendQuery(w, fn, 1)
 }
 
 // mayRenew reports whether the lease of w is to be renewed now.
@@ -137,7 +137,7 @@
 // queryRejectingWorker queries a worker that rejected something, and again after a backoff: one that rejects the query is
 // used again once it answers one.
 func (r *Router) queryRejectingWorker(w *worker) bool {
-	isDue := r.hasRejected(w) && w.state == Serving && !w.lease.isAsked && r.now >= w.lease.retryAt
+	isDue := r.hasRejected(w) && w.state == Serving && !w.lease.queryPending && r.now >= w.lease.retryAt
 	if !isDue || w.lease.function == nil || !r.deployment.LoadCommandsAllowed {
 		return false
 	}
@@ -148,10 +148,10 @@
 func (r *Router) OnQueryResult(now units.Seconds, result QueryResult) {
 	r.advance(now)
 	w, known := r.workersByID[result.Worker]
-	if !known || !w.lease.isAsked {
+	if !known || !w.lease.queryPending {
 		return
 	}
-	w.lease.isAsked = false
+	w.lease.queryPending = false
 	r.onReply(w, result.Outcome)
 	switch result.Outcome {
 	case Succeeded:
--- a/control/peer_proofs_test.go
+++ b/control/peer_proofs_test.go
@@ -123,14 +123,14 @@
 		"draining":               {step: drainingAgeStep, arrives: 0.01, rejects: true},
 	} {
 		h := newOutageWithPeers()
-		h.router.question.isSent = false
-		h.router.askPeers()
-		w, askedAt, number := h.router.workersByID[h.home], h.now, h.router.question.number
+		h.router.proofRequest.isSent = false
+		h.router.requestProofs()
+		w, askedAt, number := h.router.workersByID[h.home], h.now, h.router.proofRequest.number
 		if c.otherID {
 			number++
 		}
 		h.now += c.arrives
-		answer := binary.LittleEndian.AppendUint32([]byte{answerKind}, number)
+		answer := binary.LittleEndian.AppendUint32([]byte{proofResponseKind}, number)
 		h.router.OnGossip(h.now, binary.LittleEndian.AppendUint16(answer, uint16(w.digest())|c.step<<proofAgeShift))
 		for _, after := range []units.Seconds{0.02, 0.15, 0.25, 0.35, 0.39, 0.45} {
 			if now := askedAt + after; now > h.now && h.router.MaySend(now, h.home) != (after < c.holdsFor) {
@@ -150,15 +150,15 @@
 	proven, draining := h.router.workersByID["w0"], h.router.workersByID["w1"]
 	proven.recordProof(h.now - 0.19)
 	draining.state = Draining
-	question := binary.LittleEndian.AppendUint32([]byte{questionKind}, 77)
+	question := binary.LittleEndian.AppendUint32([]byte{proofRequestKind}, 77)
 	h.router.OnGossip(h.now, question)
-	want := binary.LittleEndian.AppendUint32([]byte{answerKind}, 77)
+	want := binary.LittleEndian.AppendUint32([]byte{proofResponseKind}, 77)
 	answer := h.broadcasts[len(h.broadcasts)-1]
-	if !bytes.HasPrefix(answer, want) || len(answer) != questionBytes+2*proofBytes {
+	if !bytes.HasPrefix(answer, want) || len(answer) != proofRequestBytes+2*proofBytes {
 		t.Fatalf("answer %x", answer)
 	}
 	steps := map[uint32]uint16{}
-	for proofs := answer[questionBytes:]; len(proofs) > 0; proofs = proofs[proofBytes:] {
+	for proofs := answer[proofRequestBytes:]; len(proofs) > 0; proofs = proofs[proofBytes:] {
 		proof := binary.LittleEndian.Uint16(proofs)
 		steps[uint32(proof)&workerDigestMask] = proof >> proofAgeShift
 	}
@@ -168,15 +168,15 @@
 }
 
 func FuzzOnGossip(f *testing.F) {
-	f.Add([]byte{questionKind, 1, 2, 3, 4})
-	f.Add([]byte{answerKind, 1, 2, 3, 4, 5, 6})
+	f.Add([]byte{proofRequestKind, 1, 2, 3, 4})
+	f.Add([]byte{proofResponseKind, 1, 2, 3, 4, 5, 6})
 	f.Add([]byte{1, 2, 3, 4})
 	f.Fuzz(func(t *testing.T, message []byte) {
 		h := newOutageWithPeers()
-		h.router.askPeers()
+		h.router.requestProofs()
 		h.router.OnGossip(h.now, message)
-		if len(message) >= questionBytes {
-			binary.LittleEndian.PutUint32(message[1:], h.router.question.number)
+		if len(message) >= proofRequestBytes {
+			binary.LittleEndian.PutUint32(message[1:], h.router.proofRequest.number)
 			h.router.OnGossip(h.now, message)
 		}
 		for _, sent := range h.broadcasts {
--- a/control/router.go
+++ b/control/router.go
@@ -49,7 +49,7 @@
 	}
 	r.endpointRulesDue = true
 	r.endpointVersion++
-	r.askPeersIfUnproven()
+	r.requestProofsIfUnproven()
 	r.applyRules()
 }
 
@@ -104,7 +104,7 @@
 		r.host.SetTimer(tickSeconds, tickTimer)
 		r.tick()
 		r.endpointRulesDue = true
-	case peerAnswerTimer:
+	case proofResponseTimer:
 		r.endpointRulesDue = true
 	case pollTimer:
 		r.host.RequestEndpoints()
@@ -125,7 +125,7 @@
 	r.grantSlowStartCredits(elapsed)
 	r.updateMachineRates(elapsed)
 	r.repeatDrains(elapsed)
-	r.askPeersIfUnproven()
+	r.requestProofsIfUnproven()
 	r.removeIdleFunctions(idleFunctionSeconds)
 }
 
--- a/control/router_state.go
+++ b/control/router_state.go
@@ -35,7 +35,7 @@
 	// queriesShowDrains is set once a worker that drains for certain rejected a query: an answer to one is a proof then.
 	queriesShowDrains bool
 	startedAt         units.Seconds
-	question          peerQuestion
+	proofRequest      proofRequest
 
 	meanLoadsUpdatedAt units.Seconds
 	meanLoad           float64 // mean load of the serving workers
