Peers are asked for proofs from the first tick on, not at the first list

Discovery is usually heard within the first tick, so that hardly any asked before; responses go to all front ends. Change: the call is taken out.

--- a/control/router.go
+++ b/control/router.go
@@ -49,7 +49,6 @@
 	}
 	r.endpointRulesDue = true
 	r.endpointVersion++
-	r.requestProofsIfUnproven()
 	r.applyRules()
 }
 
