--- a/review/standin/case_crowd.go
+++ b/review/standin/case_crowd.go
@@ -60,13 +60,14 @@
 	mu.Lock()
 	defer mu.Unlock()
 	var broken []string
-	for _, r := range append(list, fresh...) {
+	for i, r := range append(list, fresh...) {
 		// A client sends a request that crosses the end of its connection within 50 ms again on a new connection, once.
 		if r.code == -2 && r.answered.Sub(r.sent) < 50*time.Millisecond && !r.again {
 			continue
 		}
 		if r.code == -2 {
-			broken = append(broken, fmt.Sprintf("%s lost: its connection ended %.4f s after it was sent, sent again before: %v", r.id, r.answered.Sub(r.sent).Seconds(), r.again))
+			broken = append(broken, fmt.Sprintf("%s lost, first sent on a %s connection: it ended %.4f s after the request was sent, second time: %v", r.id,
+				map[bool]string{true: "lasting", false: "new"}[i < len(list)], r.answered.Sub(r.sent).Seconds(), r.again))
 		}
 	}
 	fmt.Printf("%d requests on lasting connections, %d on new ones, %d served\n", len(list), len(fresh), count(list, 0)+count(fresh, 0))
--- a/review/standin/peers.go
+++ b/review/standin/peers.go
@@ -28,10 +28,12 @@
 	silent   bool
 	runs     []*run
 
-	work     time.Duration // of one request
-	load     time.Duration // of one load
-	delay    time.Duration // of each answer, and of each order and request before it is handled
-	onMiss   bool          // loads what is missing while the request waits
+	work     time.Duration        // of one request
+	load     time.Duration        // of one load
+	delay    time.Duration        // of each answer, and of each order and request before it is handled
+	cores    chan struct{}        // if set, requests run on so many cores
+	slowed   func() time.Duration // if set, the work of one request
+	onMiss   bool                 // loads what is missing while the request waits
 	onAnswer func(r *run, c net.Conn) (handled bool)
 	onFrame  func(f workerFrame, c net.Conn)
 }
@@ -285,7 +287,22 @@
 		r.ran = true
 		wk.mu.Unlock()
 		wk.w.logf("%s runs %016x key=%s", r.worker, r.id, r.fields["uniq"])
-		if sleep(wk.work) {
+		work := wk.work
+		if wk.slowed != nil {
+			work = wk.slowed()
+		}
+		if wk.cores != nil {
+			select {
+			case wk.cores <- struct{}{}:
+			case <-r.stopped:
+				return
+			}
+		}
+		stopped := sleep(work)
+		if wk.cores != nil {
+			<-wk.cores
+		}
+		if stopped {
 			return
 		}
 		if wk.onAnswer != nil && wk.onAnswer(r, c) {
