--- a/review/standin/case_digest.go
+++ b/review/standin/case_digest.go
@@ -23,7 +23,7 @@
 		workers, hosts = append(workers, wk), append(hosts, wk.host)
 	}
 	d := newDiscovery(w, hosts)
-	fs := newFrontEnds(w, 2)
+	fs := newFrontEnds(w, 3)
 	if err := s.startAll(fs, d); err != nil {
 		return nil, err
 	}
@@ -31,7 +31,7 @@
 	stop := make(chan struct{})
 	var results []<-chan []*request
 	for _, f := range fs {
-		results = append(results, traffic(w, f, 60, stop, func(i int) *request { return newRequest("shop-event", fns[i%len(fns)], 4*time.Second) }))
+		results = append(results, traffic(w, f, 40, stop, func(i int) *request { return newRequest("shop-event", fns[i%len(fns)], 4*time.Second) }))
 	}
 	time.Sleep(8 * time.Second)
 	drained := workers[len(workers)-1]
