--- a/review/standin/cold.go
+++ b/review/standin/cold.go
@@ -80,6 +80,19 @@
 		time.AfterFunc(12*time.Second, d.up)
 		time.Sleep(500 * time.Millisecond)
 	}
+	for os.Getenv("RESTART") == "1" && len(cold) < 12 { // workers die and start again in place, cold
+		for range step {
+			wk := workers[0]
+			workers = workers[1:]
+			wk.die()
+			time.Sleep(100 * time.Millisecond)
+			serial = 100 + len(cold)
+			next := add(wk.addr, true)
+			next.host.Host = wk.host.Host
+			d.tell(false, next.host)
+		}
+		time.Sleep(4 * time.Second)
+	}
 	for len(cold) < 12 {
 		var gone []*worker
 		for range step {
