--- a/review/standin/case_crowd.go
+++ b/review/standin/case_crowd.go
@@ -74,21 +74,23 @@
 	return broken, nil
 }
 
-// askOnce sends a request on a new connection, and once more on another one if that ends within 50 ms without an answer.
+// askOnce sends a request on a new connection, and once more on another one if that ends within 50 ms without an answer. A
+// connection that ends before the request is written whole has not taken it, and another one is opened.
 func askOnce(w *world, f *frontEnd, r *request) {
-	for range 2 {
+	for range 20 {
 		cl, err := dial(w, f.name, f.listen)
 		if err != nil {
 			w.logf("dial: %v", err)
 			return
 		}
 		if cl.send(r) != nil {
-			r.code, r.answered = -2, time.Now()
-		} else {
-			select {
-			case <-r.done:
-			case <-time.After(5 * time.Second):
-			}
+			_ = cl.c.Close()
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		select {
+		case <-r.done:
+		case <-time.After(5 * time.Second):
 		}
 		_ = cl.c.Close()
 		if r.again || r.code != -2 || r.answered.Sub(r.sent) > 50*time.Millisecond {
@@ -101,7 +103,7 @@
 // crowd opens n connections, sends on each a message that never ends, and reads what comes.
 func crowd(w *world, f *frontEnd, n int) {
 	w.logf("%d connections with messages that never end", n)
-	half := append([]byte{0, 0, 1, 0, 1, 0, 0, 0, 1, 6, 4}, "kindshop-event"...)
+	half := append([]byte{0, 0, 1, 0, 1, 0, 0, 0, 1, 6, 4}, "kind\x00\x0ashop-event"...)
 	var mu sync.Mutex
 	longest, ended := time.Duration(0), 0
 	for range n {
--- a/review/standin/case_digest.go
+++ b/review/standin/case_digest.go
@@ -10,7 +10,7 @@
 
 func init() { cases["digest"] = caseDigest }
 
-// caseDigest: discovery is down for 8 s; 1 s into it a worker begins to drain, whose id shares the twelve bits by which
+// caseDigest: discovery is down for 8 s; 2 s into it a worker begins to drain for 6 s, whose id shares the twelve bits by which
 // front ends name workers to each other with the id of another worker.
 func caseDigest(w *world, trouble bool) ([]string, error) {
 	s := defaultSite()
@@ -39,7 +39,7 @@
 	if trouble {
 		d.down()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(time.Until(began.Add(2050 * time.Millisecond)))
 	drained.drain()
 	h := drained.host
 	h.Health = "leaving"
@@ -48,8 +48,11 @@
 	if trouble {
 		told = began.Add(4 * time.Second)
 	}
-	time.Sleep(7 * time.Second)
+	time.Sleep(time.Until(began.Add(8 * time.Second)))
 	end := time.Now()
+	drained.die()
+	h.Health = "left"
+	d.tell(false, h)
 	if trouble {
 		d.up()
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -67,6 +67,12 @@
 	usedPorts = map[int]bool{}
 )
 
+// ownHost returns a loopback address of this process alone, so that cases that run side by side share no port.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&0x7f, pid>>7&0x7f, 1+pid&0x7f)
+}
+
 // freeAddress returns a loopback address with a free port, below the ports that the system gives to outgoing connections.
 func freeAddress(network string) string {
 	portMu.Lock()
@@ -77,7 +83,7 @@
 			continue
 		}
 		usedPorts[port] = true
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		addr := fmt.Sprintf("%s:%d", ownHost(), port)
 		if network == "udp" {
 			if c, err := net.ListenPacket("udp", addr); err == nil {
 				_ = c.Close()
