Repeat a keyed request only where the process that ran it shares its keys

Cause: a request remembered the worker of its first execution, an entry of the endpoint list, and the scope was compared with what the entry said when the further attempt was chosen. Keys are remembered by processes, and by then the entry may be that of an earlier process (outage), of no process any more (the outage has ended), or have another failure domain (an updated entry). Change: a request records the process that its attempt reached, with the group it was listed in, when the bytes leave (Router.MayExecute, asked with the permit of each write). A process is identified once discovery confirmed the list after a response of it on connections without a break. One that is not repeats only what it ran itself, and nobody else repeats that. Why it works: the comparison is between two processes that are known to be the listed ones, or the process is the same. TestLease_DisconnectedWorkerMayBeAnotherProcess names the process from before the disconnection, where it named the entry; its checks are unchanged.

--- a/control/endpoint_index.go
+++ b/control/endpoint_index.go
@@ -21,6 +21,7 @@
 	w.reportedLoad = -1
 	w.relativeLatency = 0
 	w.lease = workerLease{}
+	w.process = r.newListedProcess(endpoint)
 	w.resetLimits(r.initialLimitPerFrontEnd())
 	r.workersByID[w.id] = w
 	r.workersByDigest[w.digest()] = w
@@ -31,9 +32,11 @@
 	return w
 }
 
-// updateWorker applies an update of an endpoint that is in the index.
+// updateWorker applies an update of an endpoint that is in the index. Messages sent from now on may reach another process,
+// also if the start is the same: the update may be that of the address.
 func (r *Router) updateWorker(w *worker, endpoint Worker) {
 	w.state = endpoint.State
+	w.process = r.newListedProcess(endpoint)
 	if w.state == Removed {
 		return
 	}
@@ -44,9 +47,7 @@
 }
 
 func (r *Router) setEndpoint(w *worker, endpoint Worker) {
-	w.zone = endpoint.Zone
 	w.machine = r.machineStatsOf(endpoint.MachineType)
-	w.failureDomain = endpoint.FailureDomain
 	w.weight = max(endpoint.Weight, minWorkerWeight)
 	if w.startedAt != endpoint.StartedAt {
 		w.disconnectedAt, w.reconnectedAt = 0, 0
@@ -83,7 +84,6 @@
 	used := make([]bool, len(r.workers)+1)
 	for _, req := range r.requests {
 		used[slotIndexOf(req.worker)] = true
-		used[slotIndexOf(req.firstExecutionOn)] = true
 	}
 	for _, fn := range r.functions {
 		used[slotIndexOf(fn.pendingLoadOn)] = true
--- a/control/endpoint_lease.go
+++ b/control/endpoint_lease.go
@@ -33,6 +33,9 @@
 	confirmedAt units.Seconds
 	// suspendedAt is the time at which the process was last found to have been suspended. Updates received before it may be stale.
 	suspendedAt units.Seconds
+	// uninterruptedSince is the time since which the list has been valid without an interruption of the watch.
+	uninterruptedSince units.Seconds
+	interrupted        bool // the watch was interrupted, or the process suspended, since the last confirmation
 	// subscribed is set once a poll has succeeded: changes are pushed from then on.
 	subscribed bool
 }
@@ -62,10 +65,14 @@
 	if asOf < r.discovery.suspendedAt {
 		return
 	}
+	if r.discovery.interrupted || !r.isDiscoveryAvailable() {
+		r.discovery.uninterruptedSince, r.discovery.interrupted = now, false
+	}
 	r.discovery.confirmedAt = max(r.discovery.confirmedAt, asOf)
 	r.discovery.expiresAt = max(r.discovery.expiresAt, asOf+discoveryLeaseSeconds)
 	for _, w := range r.workers {
 		w.lease.drainConfirmed, w.lease.drainSeenAt = false, 0
+		w.identifyProcess(asOf)
 		if w.disconnectedAt <= asOf {
 			w.disconnectedAt, w.reconnectedAt = 0, 0 // the list shows any process that replaced it
 		}
@@ -81,6 +88,7 @@
 func (r *Router) OnDiscoveryUnavailable(now units.Seconds) {
 	r.advance(now)
 	r.discovery.expiresAt = min(r.discovery.expiresAt, now+r.leaseDuration())
+	r.discovery.interrupted = true
 	r.endpointRulesDue = true
 	r.applyRules()
 }
@@ -89,7 +97,7 @@
 // that the endpoint list is no longer valid.
 func (r *Router) advance(now units.Seconds) {
 	if now-r.now > maxInputGapSeconds {
-		r.discovery.expiresAt, r.discovery.suspendedAt = 0, now
+		r.discovery.expiresAt, r.discovery.suspendedAt, r.discovery.interrupted = 0, now, true
 	}
 	r.now = now
 }
--- a/control/replica_selection.go
+++ b/control/replica_selection.go
@@ -110,22 +110,21 @@
 	return isFull || r.isSlow(fn, rep) || r.isBusy(rep.worker)
 }
 
-// isEligible reports whether req may be attempted on w. A request that may already have been executed is retried
-// only if it is idempotent or w deduplicates its key.
+// isEligible reports whether req may be attempted on w.
 func (r *Router) isEligible(req *request, w *worker) bool {
 	if w.state != Serving || !r.hasSlowStartCredit(w) {
 		return false
 	}
-	if !r.mayUse(w) {
-		return false
-	}
+	return r.mayUse(w) && r.isRepeatSafe(req, w)
+}
+
+// isRepeatSafe reports whether w may execute req even if another attempt has been executed. A request that may already have
+// been executed is retried only if it is idempotent or the process at w deduplicates its key.
+func (r *Router) isRepeatSafe(req *request, w *worker) bool {
 	if !req.possiblyExecuted || req.class.Semantics == Idempotent {
 		return true
 	}
-	if r.mayBeReplacedProcess(w) && req.class.DeduplicationScope != ScopeFleet {
-		return false // the process at its address may belong to a worker in another scope
-	}
-	return inSameScope(req.class.DeduplicationScope, w, req.firstExecutionOn) && r.isRetryDeduplicated(req)
+	return r.isRetryDeduplicated(req) && r.recognizesKey(w, req)
 }
 
 // load returns the estimated number of requests on w, including the next one, relative to its current capacity. For a
--- a/control/request.go
+++ b/control/request.go
@@ -19,6 +19,7 @@
 	awaitedLease bool
 
 	worker           *worker       // worker of the latest attempt; nil before the first and after a replica miss
+	attemptedBy      *process      // process that the latest attempt was sent to
 	attemptStartedAt units.Seconds // start of the latest attempt
 	inFlight         bool
 	awaitsLoad       bool // the latest attempt was sent to a worker without a warm replica
@@ -27,12 +28,13 @@
 	rejectedBy       []WorkerID // workers that rejected an attempt of the request
 	possiblyExecuted bool
 	firstExecutionAt units.Seconds // start of the first attempt that may have been executed
-	firstExecutionOn *worker       // worker of that attempt
+	firstExecutionBy *process      // process that it was sent to
 }
 
 // recordAttemptStart records the start of an attempt on w.
 func (r *Router) recordAttemptStart(req *request, w *worker) {
 	req.worker = w
+	req.attemptedBy = w.process
 	w.lease.usedAt = r.now
 	req.attemptStartedAt = r.now
 	req.inFlight = true
--- a/control/router.go
+++ b/control/router.go
@@ -44,7 +44,7 @@
 	}
 	for i, w := range r.workers {
 		if scope == Snapshot && !listed[i] {
-			w.state = Removed
+			r.updateWorker(w, Worker{State: Removed})
 		}
 	}
 	r.endpointRulesDue = true
@@ -156,7 +156,7 @@
 	if result.Outcome < Rejected && !req.possiblyExecuted {
 		req.possiblyExecuted = true
 		req.firstExecutionAt = req.attemptStartedAt
-		req.firstExecutionOn = w
+		req.firstExecutionBy = req.attemptedBy
 	}
 	r.finishOrRequeue(req, result)
 	r.applyRules()
--- a/control/view.go
+++ b/control/view.go
@@ -75,9 +75,9 @@
 	view := WorkerView{
 		Worker: Worker{
 			ID:            w.id,
-			Zone:          w.zone,
+			Zone:          w.process.group.zone,
 			MachineType:   w.machine.machineType,
-			FailureDomain: w.failureDomain,
+			FailureDomain: w.process.group.failureDomain,
 			State:         w.state,
 			Weight:        w.weight,
 			StartedAt:     w.startedAt,
--- a/control/worker.go
+++ b/control/worker.go
@@ -4,14 +4,13 @@
 
 // worker holds the router's view of one endpoint. Removed endpoints keep their slot until it is reused.
 type worker struct {
-	index         int // slot in Router.workers
-	id            WorkerID
-	hash          uint64
-	zone          ZoneID
-	failureDomain int
-	state         EndpointState
-	weight        float64
-	startedAt     units.Seconds
+	index     int // slot in Router.workers
+	id        WorkerID
+	hash      uint64
+	state     EndpointState
+	weight    float64
+	startedAt units.Seconds
+	process   *process // that messages to the worker reach
 	// disconnectedAt is the time at which the last connection ended, after which another process may have taken over the
 	// worker's address; 0 if discovery has confirmed the list since. reconnectedAt is the time of the first response after
 	// it; 0 before.
@@ -51,14 +50,20 @@
 	w.usedCredits = 0
 }
 
-// inSameScope reports whether two workers share idempotency keys under scope.
-func inSameScope(scope DeduplicationScope, a, b *worker) bool {
+// deduplicationGroup holds the properties of a worker that decide with which others it shares idempotency keys.
+type deduplicationGroup struct {
+	zone          ZoneID
+	failureDomain int
+}
+
+// inSameScope reports whether the workers of two groups share idempotency keys under scope.
+func inSameScope(scope DeduplicationScope, a, b deduplicationGroup) bool {
 	switch scope {
 	case ScopeFleet:
 		return true
 	case ScopeZone:
 		return a.zone == b.zone
 	default:
-		return a.zone == b.zone && a.failureDomain == b.failureDomain
+		return a == b
 	}
 }
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -2,9 +2,76 @@
 
 import "streamcleat/internal/units"
 
-// Worker processes: a worker is identified by its address, at which another process may respond after the last connection
-// has ended. Discovery reports the new process. Until it confirms the list as of a later time, the lease of the worker counts
-// as unconfirmed, and the worker as cold from its first response on.
+// Worker processes: a worker is an entry of the endpoint list, at whose address another process may respond after the last
+// connection has ended. Discovery reports the new process. Until it confirms the list as of a later time, the lease of the
+// worker counts as unconfirmed, and the worker as cold from its first response on.
+//
+// Idempotency keys are remembered by processes. A request therefore records the process of its first execution and not the
+// worker: the entry may change, or turn out to have been that of another process, before the request is attempted again.
+
+// process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
+// entry in the endpoint list to the next.
+type process struct {
+	group     deduplicationGroup // as listed when the process was first assumed
+	repliedAt units.Seconds      // time of its first response; 0: none
+	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
+	identified bool
+}
+
+// newListedProcess returns the process that an entry of the endpoint list describes. Where the host reports confirmations of
+// the list, the process is identified only once the list was confirmed after the process had responded. Before that, messages
+// may reach another process at its address.
+func (r *Router) newListedProcess(endpoint Worker) *process {
+	group := deduplicationGroup{zone: endpoint.Zone, failureDomain: endpoint.FailureDomain}
+	return &process{group: group, identified: !r.deployment.EndpointLeases}
+}
+
+// identifyProcess records that the endpoint list, with w on it, was complete at asOf or later. A process that had responded
+// by then is the listed one: a successor takes an address only after discovery has reported the end of its predecessor.
+func (w *worker) identifyProcess(asOf units.Seconds) {
+	p := w.process
+	if w.state != Removed && p.repliedAt > 0 && p.repliedAt <= asOf {
+		p.identified = true
+	}
+}
+
+// isProcessIdentified reports whether a message to w reaches the process that the endpoint list describes.
+func (r *Router) isProcessIdentified(w *worker) bool {
+	return r.isDiscoveryAvailable() || w.process.identified
+}
+
+// isFirstExecutionIdentified reports whether the process that may have executed req first was the one that the endpoint list
+// described then. It is if discovery has been available without interruption since the attempt started. An outage that has
+// ended in the meantime does not identify it, because the worker's entry may have been outdated when the attempt was sent.
+func (r *Router) isFirstExecutionIdentified(req *request) bool {
+	isUninterrupted := r.isDiscoveryAvailable() && req.firstExecutionAt >= r.discovery.uninterruptedSince
+	return req.firstExecutionBy.identified || isUninterrupted
+}
+
+// recognizesKey reports whether the process at the address of w recognizes the idempotency key of req, which may have been
+// executed, while the key is retained. A process that may be another than the listed one recognizes only the keys of the
+// requests that it executed itself.
+func (r *Router) recognizesKey(w *worker, req *request) bool {
+	scope := req.class.DeduplicationScope
+	if scope == ScopeFleet || w.process == req.firstExecutionBy {
+		return true
+	}
+	areIdentified := r.isProcessIdentified(w) && r.isFirstExecutionIdentified(req)
+	return areIdentified && inSameScope(scope, w.process.group, req.firstExecutionBy.group)
+}
+
+// MayExecute reports whether the process that an attempt of a request reaches now may execute it, and records that process.
+// The host calls it when it sends the bytes, in addition to MaySend: since the decision, the connections to the worker may
+// have ended, or its entry in the endpoint list may have changed.
+func (r *Router) MayExecute(now units.Seconds, id RequestID) bool {
+	r.advance(now)
+	req := r.requests[id]
+	if req == nil || !req.inFlight || !r.isRepeatSafe(req, req.worker) {
+		return false
+	}
+	req.attemptedBy = req.worker.process
+	return true
+}
 
 // OnDisconnected handles the end of the last established connection to a worker. Unless discovery confirms the list
 // afterwards, the process may have terminated and another one, which is cold, may have taken over its address.
@@ -20,17 +87,22 @@
 	if !r.hasLeases() {
 		return
 	}
+	w.process = &process{group: w.process.group}
 	w.disconnectedAt, w.reconnectedAt = r.now, 0
 	if !r.isDiscoveryAvailable() {
 		r.restartSlowStart(w)
 	}
 }
 
-// onReply records the first response of a worker after a disconnection, to an attempt, load command or query. The process
+// onReply records the first response of a process, to an attempt, load command or query. After a disconnection, the process
 // that responds may have started as late as now.
 func (r *Router) onReply(w *worker, outcome Outcome) {
 	isReply := outcome == Succeeded || outcome == Failed || outcome == Rejected || outcome == ReplicaMissing
-	if !isReply || w.disconnectedAt == 0 || w.reconnectedAt > 0 {
+	if !isReply || w.process.repliedAt > 0 {
+		return
+	}
+	w.process.repliedAt = r.now
+	if w.disconnectedAt == 0 || w.reconnectedAt > 0 {
 		return
 	}
 	w.reconnectedAt = r.now
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -14,10 +14,11 @@
 		h := c.host
 		w := h.router.workersByID[h.home]
 		w.recordAcceptance(h.now)
+		executedBy := w.process
 		h.router.OnDisconnected(h.now, h.home)
 		keyed := &request{
 			class:            &RequestClass{Semantics: IdempotentByKey, DeduplicationScope: ScopeZone, DeduplicationWindow: 9},
-			possiblyExecuted: true, firstExecutionOn: w, firstExecutionAt: h.now,
+			possiblyExecuted: true, firstExecutionBy: executedBy, firstExecutionAt: h.now,
 		}
 		w.grantedCredits = 1
 		isCold := h.router.warmUpProgress(w, h.now) < 1
--- a/internal/dispatch/send_permit.go
+++ b/internal/dispatch/send_permit.go
@@ -36,12 +36,13 @@
 	DeniedNoWaiter                    // the request has no waiter left
 	DeniedDeadlineExceeded            // the attempt's deadline has passed
 	DeniedLeaseExpired                // its worker may have begun to drain since the decision
+	DeniedProcessReplaced             // its worker may not recognize the idempotency key, as its process may have been replaced
 	sendDenialCount                   // number of values
 )
 
 // String returns the denial's name in logs.
 func (d SendDenial) String() string {
-	return [sendDenialCount]string{"permitted", "superseded", "no-waiter", "deadline-exceeded", "lease-expired"}[d]
+	return [sendDenialCount]string{"permitted", "superseded", "no-waiter", "deadline-exceeded", "lease-expired", "process-replaced"}[d]
 }
 
 // AuthorizeAttempt decides whether an attempt may be written now. Connection pools call it immediately before they write
@@ -93,6 +94,9 @@
 	if !d.router.MaySend(d.now, attempt.worker) {
 		return DenySend(DeniedLeaseExpired)
 	}
+	if !d.router.MayExecute(d.now, attempt.request.id) {
+		return DenySend(DeniedProcessReplaced)
+	}
 	return PermitSend(timeLeft)
 }
 
