Send a keyed request to an identified process first while discovery is unavailable

Change: while discovery is unavailable, requests of a keyed class with a scope smaller than the fleet prefer workers, and targets of loads, whose process is identified. If none can take the request, the others do. TestKeyedRequest_PrefersIdentifiedProcess and TestKeyedRequest_LoadsOnIdentifiedProcess fail without it.

--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -215,3 +215,57 @@
 		}
 	}
 }
+
+// Guards against final errors of keyed requests during a discovery outage: their first attempt went to a worker whose process was
+// not identified and failed, so that no other worker could repeat them, while identified ones had capacity.
+func TestKeyedRequest_PrefersIdentifiedProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		class        string
+		disconnected []string
+		want         string
+	}{
+		"all identified":         {"keyed", nil, "home"},
+		"one not identified":     {"keyed", []string{"home"}, "stranger"},
+		"none identified":        {"keyed", []string{"home", "stranger"}, "home"},
+		"class without the rule": {"idempotent", []string{"home"}, "home"},
+	} {
+		h := newKeyedHost()
+		ids := map[string]WorkerID{"home": h.home, "stranger": h.stranger}
+		for _, worker := range c.disconnected {
+			h.disconnect(ids[worker])
+		}
+		h.pass()
+		h.router.OnDiscoveryAvailable(h.now, h.now) // the workers are not cold
+		h.loseDiscovery()
+		for _, id := range ids {
+			h.confirm(id)
+			h.router.functionsByID["f"].ensureReplica(h.router.workersByID[id]).markWarm(h.now)
+		}
+		h.clear()
+		h.router.OnRequest(h.now, Request{ID: "a", Class: c.class, Function: "f", TimeLeft: 3, Concurrency: 4})
+		if want := []string{"a@" + string(ids[c.want])}; !slices.Equal(h.attempts, want) {
+			t.Errorf("%s: attempts %v, want %v", name, h.attempts, want)
+		}
+	}
+}
+
+// The load command for a keyed request goes to an identified process too.
+func TestKeyedRequest_LoadsOnIdentifiedProcess(t *testing.T) {
+	for _, class := range []string{"idempotent", "keyed"} {
+		h := newKeyedHost()
+		h.disconnect(h.home)
+		h.pass()
+		h.router.OnDiscoveryAvailable(h.now, h.now)
+		h.loseDiscovery()
+		for _, w := range h.router.workers {
+			h.confirm(w.id)
+		}
+		h.router.functionsByID["f"].replicas = nil
+		h.clear()
+		h.router.OnRequest(h.now, Request{ID: "a", Class: class, Function: "f", TimeLeft: 3, Concurrency: 4})
+		onHome := slices.Equal(h.loads, h.at("%s/f"))
+		if len(h.loads) != 1 || onHome != (class == "idempotent") {
+			t.Errorf("%s: loads %v, home %s", class, h.loads, h.home)
+		}
+	}
+}
--- a/control/replica_loading.go
+++ b/control/replica_loading.go
@@ -55,7 +55,7 @@
 // rather than one after another.
 func (r *Router) pickLoadTarget(req *request, missing int) *worker {
 	var candidates, notBusy []*worker
-	for _, w := range r.rendezvousOrder(req) {
+	for _, w := range r.candidateOrder(req) {
 		if w.loadBackoffUntil > r.now || r.isWarm(req.function.replicaOn(w)) {
 			continue
 		}
@@ -72,11 +72,11 @@
 		}
 	}
 	if len(notBusy) == 0 {
-		return r.leastLoaded(r.leaseHolders(candidates))
+		return r.leastLoaded(r.preferredCandidates(req, candidates))
 	}
-	holders := r.leaseHolders(notBusy)
-	holders = holders[:min(len(holders), max(missing, 1))]
-	return holders[r.random.below(len(holders))]
+	preferred := r.preferredCandidates(req, notBusy)
+	preferred = preferred[:min(len(preferred), max(missing, 1))]
+	return preferred[r.random.below(len(preferred))]
 }
 
 // commandLoad starts the load of fn on w. If w holds no lease, the load command is deferred until the lease is confirmed.
--- a/control/replica_selection.go
+++ b/control/replica_selection.go
@@ -58,7 +58,7 @@
 	target := int(math.Ceil(fn.targetReplicas))
 	var candidates []*worker
 	rejecting := 0 // replicas that count towards the target but have rejected this request
-	for _, w := range r.rendezvousOrder(req) {
+	for _, w := range r.candidateOrder(req) {
 		rep := fn.replicaOn(w)
 		failedBefore := w == req.worker && len(candidates) > 0
 		if !r.isWarm(rep) || failedBefore || !r.hasCapacity(w) || !r.isEligible(req, w) {
@@ -76,7 +76,7 @@
 			break
 		}
 	}
-	return r.leastLoaded(r.leaseHolders(candidates)), target - len(candidates) - rejecting
+	return r.leastLoaded(r.preferredCandidates(req, candidates)), target - len(candidates) - rejecting
 }
 
 // retryRejectingReplica sends a request again to a warm replica whose worker has rejected it, if no other can serve it: the
@@ -127,6 +127,31 @@
 	return r.isRetryDeduplicated(req) && r.recognizesKey(w, req)
 }
 
+// candidateOrder returns the serving workers in rendezvous order or, for a request that prefers identified processes, those
+// with an identified process before the others.
+func (r *Router) candidateOrder(req *request) []*worker {
+	order := r.rendezvousOrder(req)
+	if !r.prefersIdentifiedProcess(req) {
+		return order
+	}
+	identified, others := r.partitionByIdentity(order)
+	return append(identified, others...)
+}
+
+// preferredCandidates returns those of the candidates that hold leases, and of these the ones with an identified process if
+// the request prefers it. A preference that none satisfies has no effect.
+func (r *Router) preferredCandidates(req *request, candidates []*worker) []*worker {
+	holders := r.leaseHolders(candidates)
+	if !r.prefersIdentifiedProcess(req) {
+		return holders
+	}
+	identified, others := r.partitionByIdentity(holders)
+	if len(identified) == 0 {
+		return others
+	}
+	return identified
+}
+
 // load returns the estimated number of requests on w, including the next one, relative to its current capacity. For a
 // worker without a report the mean reported load is used.
 func (r *Router) load(w *worker) float64 {
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -60,6 +60,27 @@
 	return areIdentified && inSameScope(scope, w.process.group, req.firstExecutionBy.group)
 }
 
+// prefersIdentifiedProcess reports whether the first execution of req should be on an identified process: if it fails, other
+// workers can repeat it only then.
+func (r *Router) prefersIdentifiedProcess(req *request) bool {
+	if r.isDiscoveryAvailable() || req.possiblyExecuted {
+		return false
+	}
+	return req.class.Semantics == IdempotentByKey && req.class.DeduplicationScope != ScopeFleet
+}
+
+// partitionByIdentity splits workers into those whose process is identified and the others, in the order given.
+func (r *Router) partitionByIdentity(workers []*worker) (identified, others []*worker) {
+	for _, w := range workers {
+		if r.isProcessIdentified(w) {
+			identified = append(identified, w)
+		} else {
+			others = append(others, w)
+		}
+	}
+	return identified, others
+}
+
 // MayExecute reports whether the process that an attempt of a request reaches now may execute it, and records that process.
 // The host calls it when it sends the bytes, in addition to MaySend: since the decision, the connections to the worker may
 // have ended, or its entry in the endpoint list may have changed.
