Do not repeat a keyed request of a small scope after its client disconnected

Callers would see: a request with a key and a reach of zone or cell runs in two cells. Its first attempt fails after it may have run, the request waits for a load, its client disconnects and sends it again: the retry is admitted as after any rejection and sent to any worker. Cause: recovery judged a repeat by semantics, window and scope, the router's rejection by semantics and window, and a queued request that loses its last waiter by nothing. Change: isRepeatUnsafe decides in all three and for cached rejections. Result: TestOnCancel_KeyedRequestOfSmallScopeIsNotRepeated sees two attempts without the change and one with it; scope fleet is repeated as before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -192,7 +192,7 @@
 		return
 	}
 	if cached := d.cache.lookup(request.Identity, d.now); cached != nil {
-		cached.failIfDeduplicationExpired(class, d.now)
+		cached.failIfRepeatUnsafe(class, d.now)
 		if cached.mustReplay() {
 			d.replay(to, cached, class)
 			return
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// Guards against a keyed request that is executed in two failure domains: its client disconnected while it waited for a load,
+// after an attempt that may have been executed, and its retry was sent to any worker.
+func TestOnCancel_KeyedRequestOfSmallScopeIsNotRepeated(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope        control.DeduplicationScope
+		wantAttempts int
+	}{"fleet": {control.ScopeFleet, 2}, "failure domain": {control.ScopeFailureDomain, 1}} {
+		h := newHarness(t, func(s *Settings) { s.Deployment.RequestClasses[1].DeduplicationScope = c.scope })
+		first := h.submitAndStart(classKeyed, "e")
+		drain := control.Worker{ID: first.Worker, State: control.Draining, Weight: 1}
+		h.dispatcher.OnEndpointUpdate(h.now, control.Delta, []control.Worker{drain})
+		h.reply(first.ID, control.Failed)
+		h.dispatcher.OnCancel(h.now, 1)
+		if len(h.attempts) != 1 {
+			t.Fatalf("%s: the request does not wait for a load", name)
+		}
+		h.completeLoads()
+		h.submit(2, classKeyed, "e", 0)
+		if len(h.attempts) != c.wantAttempts {
+			t.Errorf("%s: %d attempts, want %d; responses %v", name, len(h.attempts), c.wantAttempts, h.responses)
+		}
+	}
+}
+
 func TestSubmit_DuplicateWithEarlierDeadline(t *testing.T) {
 	for class, want := range map[string]ResponseKind{classIdempotent: Rejected, classAtMostOnce: Failed} {
 		t.Run(class, func(t *testing.T) {
--- a/internal/dispatch/open_request.go
+++ b/internal/dispatch/open_request.go
@@ -230,7 +230,7 @@
 	d.router.OnCancel(d.now, req.id)
 	switch {
 	case req.attempt == nil:
-		d.complete(req, d.newResponse(req, Rejected, CauseDeadlineExceeded))
+		d.completeUnsent(req)
 	case d.effects.CancelUnsent(req.attempt.id): // still waiting for a connection or for its record
 		d.endAttempt(req.attempt, WorkerReply{Outcome: control.NotSent})
 	case d.settings.CancelAbandoned:
@@ -239,6 +239,16 @@
 	}
 }
 
+// completeUnsent completes a queued request without waiters. Its response is for a retry, which may not be executed if an
+// earlier attempt was possibly executed and another execution is not safe.
+func (d *Dispatcher) completeUnsent(req *openRequest) {
+	response := d.newResponse(req, Rejected, CauseDeadlineExceeded)
+	if req.possiblyExecuted && isRepeatUnsafe(req.class, req.firstExecutedAt, d.now) {
+		response.Kind = Failed
+	}
+	d.complete(req, response)
+}
+
 // readmit replaces an orphaned request, whose attempt did not succeed, by a new request for the waiters that joined it
 // in the meantime.
 func (d *Dispatcher) readmit(orphan *openRequest) {
--- a/internal/dispatch/recovery.go
+++ b/internal/dispatch/recovery.go
@@ -116,10 +116,7 @@
 	cached.response.Kind = Rejected
 	cached.response.Cause = CauseRestarted
 	cached.response.RetryAfter = d.settings.Deployment.MaxRetryAfter
-	// Unless deduplication covers the whole fleet, a retry may reach a worker that does not know of the first execution.
-	duplicateUndetected := class.Semantics == control.IdempotentByKey &&
-		(class.DeduplicationScope != control.ScopeFleet || deduplicationExpired(class, cached.firstExecutedAt, d.now))
-	if class.Semantics == control.AtMostOnce || duplicateUndetected {
+	if isRepeatUnsafe(class, cached.firstExecutedAt, d.now) {
 		cached.response.Kind, cached.response.RetryAfter = Failed, 0
 	}
 }
--- a/internal/dispatch/response_cache.go
+++ b/internal/dispatch/response_cache.go
@@ -20,18 +20,25 @@
 // executed again.
 func (c *cachedResponse) mustReplay() bool { return c.response.Kind != Rejected }
 
-// failIfDeduplicationExpired turns a cached rejection into a failure once a retry could have a duplicate effect, because
-// workers may have discarded the idempotency key of the first execution.
-func (c *cachedResponse) failIfDeduplicationExpired(class *control.RequestClass, now units.Seconds) {
-	if c.response.Kind == Rejected && c.possiblyExecuted && deduplicationExpired(class, c.firstExecutedAt, now) {
+// failIfRepeatUnsafe turns a cached rejection into a failure once a retry could have a duplicate effect.
+func (c *cachedResponse) failIfRepeatUnsafe(class *control.RequestClass, now units.Seconds) {
+	if c.response.Kind == Rejected && c.possiblyExecuted && isRepeatUnsafe(class, c.firstExecutedAt, now) {
 		c.response.Kind, c.response.Cause = Failed, CauseResponseExpired
 	}
 }
 
-// deduplicationExpired reports whether a request has an idempotency key that workers may have discarded since its first
-// execution, so that another execution could have a duplicate effect.
-func deduplicationExpired(class *control.RequestClass, firstExecutedAt, now units.Seconds) bool {
-	return class.Semantics == control.IdempotentByKey && now >= firstExecutedAt+class.DeduplicationWindow
+// isRepeatUnsafe reports whether another request of the same identity could have a duplicate effect, after one that was first
+// executed at a time. With an idempotency key, it could once workers may have discarded the key, and on workers outside of the
+// deduplication scope of the first execution, which the router does not know for another request.
+func isRepeatUnsafe(class *control.RequestClass, firstExecutedAt, now units.Seconds) bool {
+	switch class.Semantics {
+	case control.Idempotent:
+		return false
+	case control.IdempotentByKey:
+		return class.DeduplicationScope != control.ScopeFleet || now >= firstExecutedAt+class.DeduplicationWindow
+	case control.AtMostOnce:
+	}
+	return true
 }
 
 // bodySize returns the number of bytes that the response adds to responseCache.bodyBytes.
--- a/internal/dispatch/routing_host.go
+++ b/internal/dispatch/routing_host.go
@@ -22,7 +22,7 @@
 	req := d.requests[id]
 	response := d.newResponse(req, Rejected, d.causeOf(req))
 	response.RetryAfter = retryAfter
-	if req.possiblyExecuted && (req.class.Semantics == control.AtMostOnce || deduplicationExpired(req.class, req.firstExecutedAt, d.now)) {
+	if req.possiblyExecuted && isRepeatUnsafe(req.class, req.firstExecutedAt, d.now) {
 		response.Kind = Failed
 	}
 	d.complete(req, response)
