Identify a worker's process by responses to messages that were sent to it

Found by reading; shown by a test. Cause: any response of a worker counted as one of its present process. An attempt, load command or query that was in flight when the worker drained and returned is answered on the connection from before, and the next confirmation of the list identified a process to which no connection had been made. Slow start goes on from any response, as before.

--- a/control/endpoint_lease.go
+++ b/control/endpoint_lease.go
@@ -47,11 +47,12 @@
 	clearedAt  units.Seconds // send time of the query that it accepted after it had rejected one
 	usedAt     units.Seconds // time of the last attempt
 
-	queryPending bool          // a query or a renewal awaits its result
-	retryAt      units.Seconds // no query is sent before
-	failures     int           // consecutive queries that did not succeed
-	function     *function     // the function of the last query or rejection; nil before the first
-	waiters      []*request    // requests that wait for the result of the query
+	queryPending   bool          // a query or a renewal awaits its result
+	queriedProcess *process      // process that the last query or renewal was sent to
+	retryAt        units.Seconds // no query is sent before
+	failures       int           // consecutive queries that did not succeed
+	function       *function     // the function of the last query or rejection; nil before the first
+	waiters        []*request    // requests that wait for the result of the query
 
 	rejectedQuery  bool          // the last rejection was that of a query
 	drainConfirmed bool          // it rejected a renewal, which a full worker accepts
@@ -149,19 +150,30 @@
 	return known && r.holdsLease(w)
 }
 
-// MayLoad is MaySend for a load command, which must also be within the quota when it is sent.
+// MayLoad is MaySend for a load command, which must also be within the quota when it is sent. It records the process that
+// the command reaches.
 func (r *Router) MayLoad(now units.Seconds, id WorkerID, function FunctionID) bool {
 	r.advance(now)
 	w, known := r.workersByID[id]
-	return known && r.holdsLease(w) && r.recountLoadCommand(id, function)
+	if !known || !r.holdsLease(w) || !r.recountLoadCommand(id, function) {
+		return false
+	}
+	if fn := r.functionsByID[function]; fn != nil && fn.pendingLoadOn == w {
+		fn.loadCommandedTo = w.process
+	}
+	return true
 }
 
 // MayQuery is MaySend for a query or renewal. A renewal may be sent to a worker that has rejected a message, since
-// the worker may only be full.
+// the worker may only be full. It records the process that the query reaches.
 func (r *Router) MayQuery(now units.Seconds, id WorkerID, replicas int) bool {
 	r.advance(now)
 	w, known := r.workersByID[id]
-	return known && (replicas == 0 || r.isConfirmed(w))
+	if !known || replicas > 0 && !r.isConfirmed(w) {
+		return false
+	}
+	w.lease.queriedProcess = w.process
+	return true
 }
 
 // recordAcceptance records that w accepted a message sent at a time.
--- a/control/function.go
+++ b/control/function.go
@@ -24,6 +24,7 @@
 
 	pendingLoadOn     *worker       // worker of the load command whose result is pending
 	loadCommandedAt   units.Seconds // time of the latest load command
+	loadCommandedTo   *process      // process that it was sent to
 	loadAwaitsLease   bool          // the load command is deferred until the lease of pendingLoadOn is confirmed
 	loadCooldownUntil units.Seconds // while a replica is in use, no other is loaded before this time
 	waiters           []*request    // requests waiting for the pending load
--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -26,8 +26,8 @@
 	h.router.OnEndpointUpdate(h.now, Delta, []Worker{
 		{ID: h.home, FailureDomain: 1, Weight: 1}, {ID: h.sibling, FailureDomain: 1, Weight: 1}, {ID: h.stranger, FailureDomain: 2, Weight: 1},
 	})
-	for _, w := range h.router.workers {
-		h.router.onReply(w, Succeeded)
+	for _, id := range []WorkerID{h.home, h.sibling, h.stranger} {
+		h.reply(id)
 	}
 	h.pass()
 	h.router.OnDiscoveryAvailable(h.now, h.now)
@@ -57,6 +57,12 @@
 	w.grantedCredits, w.usedCredits = 1, 0
 }
 
+// reply reports a response of a worker's process.
+func (h *keyedHost) reply(id WorkerID) {
+	w := h.router.workersByID[id]
+	h.router.onReply(w, w.process, Succeeded)
+}
+
 func (h *keyedHost) disconnect(id WorkerID) {
 	h.pass()
 	h.router.OnDisconnected(h.now, id)
@@ -143,7 +149,7 @@
 		h.loseDiscovery()
 		h.disconnect(h.home)
 		h.send()
-		h.router.onReply(h.router.workersByID[h.home], Succeeded)
+		h.reply(h.home)
 		h.pass()
 		h.router.OnDiscoveryAvailable(h.now, h.now)
 		return h.end(Failed)
@@ -152,7 +158,7 @@
 		h.loseDiscovery()
 		h.disconnect(h.home)
 		h.send()
-		h.router.onReply(h.router.workersByID[h.home], Succeeded)
+		h.reply(h.home)
 		h.list(Worker{FailureDomain: 1, State: Removed})
 		return h.end(Failed)
 	}, nil},
@@ -269,3 +275,26 @@
 		}
 	}
 }
+
+// Guards against a process that is taken for the listed one by the response of an earlier one: an attempt was in flight when its
+// worker drained and returned, and its response arrived on the connection from before.
+func TestProcess_ResponseOfEarlierConnectionIdentifiesNone(t *testing.T) {
+	for name, c := range map[string]struct {
+		states []EndpointState // of the updates between the attempt and its response
+		want   bool
+	}{"same entry": {nil, true}, "drained and returned": {[]EndpointState{Draining, Serving}, false}} {
+		h := newKeyedHost()
+		h.disconnect(h.home)
+		h.send()
+		for _, state := range c.states {
+			h.list(Worker{FailureDomain: 1, State: state})
+		}
+		h.end(Failed)
+		h.pass()
+		h.router.OnDiscoveryAvailable(h.now, h.now)
+		h.loseDiscovery()
+		if got := h.router.isProcessIdentified(h.router.workersByID[h.home]); got != c.want {
+			t.Errorf("%s: identified %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/control/lease_renewal.go
+++ b/control/lease_renewal.go
@@ -79,7 +79,7 @@
 	if w.lease.queryPending {
 		return false
 	}
-	w.lease.queryPending, w.lease.function = true, fn
+	w.lease.queryPending, w.lease.function, w.lease.queriedProcess = true, fn, w.process
 	r.host.QueryReplicas(w.id, fn.id, replicas, r.leaseDuration())
 	return true
 }
@@ -153,7 +153,7 @@
 		return
 	}
 	w.lease.queryPending = false
-	r.onReply(w, result.Outcome)
+	r.onReply(w, w.lease.queriedProcess, result.Outcome)
 	switch result.Outcome {
 	case Succeeded:
 		r.recordQueryResponse(w, result)
--- a/control/replica_loading.go
+++ b/control/replica_loading.go
@@ -93,7 +93,7 @@
 
 // sendLoadCommand sends the load command for fn to w and counts it towards the quota.
 func (r *Router) sendLoadCommand(fn *function, w *worker) {
-	fn.loadCommandedAt = r.now
+	fn.loadCommandedAt, fn.loadCommandedTo = r.now, w.process
 	r.countLoadCommand(w.id, fn.id)
 	r.host.LoadReplicas(w.id, fn.id, 1)
 }
@@ -169,7 +169,11 @@
 	if fn.loadTime > 0 && result.Duration > tickSeconds {
 		r.loadSlowdown += loadSlowdownWeight * (float64(result.Duration/fn.loadTime) - r.loadSlowdown)
 	}
-	r.onReply(w, result.Outcome)
+	var sentTo *process // nil: of an abandoned load
+	if fn.pendingLoadOn == w {
+		sentTo = fn.loadCommandedTo
+	}
+	r.onReply(w, sentTo, result.Outcome)
 	r.updateLeaseFromLoad(w, fn, result)
 	if result.Replicas > 0 {
 		fn.ensureReplica(w).markWarm(now)
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -115,14 +115,16 @@
 	}
 }
 
-// onReply records the first response of a process, to an attempt, load command or query. After a disconnection, the process
-// that responds may have started as late as now.
-func (r *Router) onReply(w *worker, outcome Outcome) {
+// onReply records the first response of a worker's process, to an attempt, load command or query that was sent to a process
+// of it, which may be an earlier one. After a disconnection, the process that responds may have started as late as now.
+func (r *Router) onReply(w *worker, sentTo *process, outcome Outcome) {
 	isReply := outcome == Succeeded || outcome == Failed || outcome == Rejected || outcome == ReplicaMissing
-	if !isReply || w.process.repliedAt > 0 {
+	if !isReply {
 		return
 	}
-	w.process.repliedAt = r.now
+	if sentTo == w.process && sentTo.repliedAt == 0 {
+		sentTo.repliedAt = r.now
+	}
 	if w.disconnectedAt == 0 || w.reconnectedAt > 0 {
 		return
 	}
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -52,7 +52,7 @@
 		if isCold := h.router.warmUpProgress(w, h.now) < 1; isCold == confirmedAfter {
 			t.Errorf("%s: cold %v", name, isCold)
 		}
-		h.router.onReply(w, Succeeded)
+		h.router.onReply(w, w.process, Succeeded)
 		wantsInitial := !confirmedAfter
 		isInitial := h.router.warmUpProgress(w, h.now) == h.router.deployment.InitialCapacityFraction
 		if isInitial != wantsInitial {
