Take a connection that is established beside others for uncertain until one of them receives a message

Cause: the end of a worker's last connection told that another process may have its address. A machine that vanishes closes nothing: its connections stay open and silent, a new one reaches the machine that has taken the address, and both counted as one process; when the old ones ended at last, the new one kept that from being reported. Change: the pool reports such a connection (OnProcessUncertain), the first message on an earlier one (OnProcessConfirmed), and, if the earlier ones end before, OnDisconnected. Meanwhile messages reach an uncertain process, which repeats nothing.

--- a/control/endpoint_index.go
+++ b/control/endpoint_index.go
@@ -21,7 +21,7 @@
 	w.reportedLoad = -1
 	w.relativeLatency = 0
 	w.lease = workerLease{}
-	w.process = r.newListedProcess(endpoint)
+	w.process, w.certainProcess = r.newListedProcess(endpoint), nil
 	w.resetLimits(r.initialLimitPerFrontEnd())
 	r.workersByID[w.id] = w
 	r.workersByDigest[w.digest()] = w
@@ -36,7 +36,7 @@
 // also if the start is the same: the update may be that of the address.
 func (r *Router) updateWorker(w *worker, endpoint Worker) {
 	w.state = endpoint.State
-	w.process = r.newListedProcess(endpoint)
+	w.process, w.certainProcess = r.newListedProcess(endpoint), nil
 	if w.state == Removed {
 		return
 	}
--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -167,6 +167,34 @@
 		h.list(Worker{FailureDomain: 2})
 		return h.end(Failed)
 	}, onlySibling},
+	"later connection to an uncertain process": {func(h *keyedHost) []WorkerID {
+		h.loseDiscovery()
+		h.router.OnProcessUncertain(h.now, h.home)
+		h.send()
+		return h.end(Failed)
+	}, nil},
+	"later connection, process confirmed before the result": {func(h *keyedHost) []WorkerID {
+		h.loseDiscovery()
+		h.router.OnProcessUncertain(h.now, h.home)
+		h.send()
+		h.router.OnProcessConfirmed(h.now, h.home)
+		return h.end(Failed)
+	}, failureDomain},
+	"later connection to the successor, process confirmed": {func(h *keyedHost) []WorkerID {
+		h.loseDiscovery()
+		h.disconnect(h.home)
+		h.router.OnProcessUncertain(h.now, h.home)
+		h.send()
+		h.router.OnProcessConfirmed(h.now, h.home)
+		return h.end(Failed)
+	}, onlyHome},
+	"later connection, earlier ones ended": {func(h *keyedHost) []WorkerID {
+		h.loseDiscovery()
+		h.router.OnProcessUncertain(h.now, h.home)
+		h.send()
+		h.disconnect(h.home)
+		return h.end(Failed)
+	}, nil},
 	"new connection while discovery is available": {func(h *keyedHost) []WorkerID {
 		h.disconnect(h.home)
 		h.send()
--- a/control/worker.go
+++ b/control/worker.go
@@ -11,6 +11,9 @@
 	weight    float64
 	startedAt units.Seconds
 	process   *process // that messages to the worker reach
+	// certainProcess is the process that the earlier connections reach, while it is uncertain whether process is the same one;
+	// nil otherwise.
+	certainProcess *process
 	// disconnectedAt is the time at which the last connection ended, after which another process may have taken over the
 	// worker's address; 0 if discovery has confirmed the list since. reconnectedAt is the time of the first response after
 	// it; 0 before.
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -16,6 +16,16 @@
 	repliedAt units.Seconds      // time of its first response; 0: none
 	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
 	identified bool
+	// confirmedAs is the same process as it was known before it became uncertain; nil if it was not, or is still so.
+	confirmedAs *process
+}
+
+// confirmed returns the process that p was confirmed to be, which is p itself unless it was uncertain.
+func (p *process) confirmed() *process {
+	if p.confirmedAs != nil {
+		return p.confirmedAs
+	}
+	return p
 }
 
 // newListedProcess returns the process that an entry of the endpoint list describes. Where the host reports confirmations of
@@ -45,7 +55,7 @@
 // ended in the meantime does not identify it, because the worker's entry may have been outdated when the attempt was sent.
 func (r *Router) isFirstExecutionIdentified(req *request) bool {
 	isUninterrupted := r.isDiscoveryAvailable() && req.firstExecutionAt >= r.discovery.uninterruptedSince
-	return req.firstExecutionBy.identified || isUninterrupted
+	return req.firstExecutionBy.confirmed().identified || isUninterrupted
 }
 
 // recognizesKey reports whether the process at the address of w recognizes the idempotency key of req, which may have been
@@ -53,7 +63,8 @@
 // requests that it executed itself.
 func (r *Router) recognizesKey(w *worker, req *request) bool {
 	scope := req.class.DeduplicationScope
-	if scope == ScopeFleet || w.process == req.firstExecutionBy {
+	isSameProcess := w.process == req.firstExecutionBy.confirmed() && w.certainProcess == nil
+	if scope == ScopeFleet || isSameProcess {
 		return true
 	}
 	areIdentified := r.isProcessIdentified(w) && r.isFirstExecutionIdentified(req)
@@ -103,12 +114,37 @@
 	}
 }
 
+// OnProcessUncertain handles a connection to a worker that was established beside others. Until they are known to reach the
+// same process, messages to the worker may reach either.
+func (r *Router) OnProcessUncertain(now units.Seconds, id WorkerID) {
+	r.advance(now)
+	w, known := r.workersByID[id]
+	if !known || w.certainProcess != nil || !r.hasLeases() {
+		return
+	}
+	w.process, w.certainProcess = &process{group: w.process.group}, w.process
+}
+
+// OnProcessConfirmed handles the confirmation that all connections to a worker reach the same process.
+func (r *Router) OnProcessConfirmed(now units.Seconds, id WorkerID) {
+	r.advance(now)
+	w, known := r.workersByID[id]
+	if !known || w.certainProcess == nil {
+		return
+	}
+	if w.certainProcess.repliedAt == 0 {
+		w.certainProcess.repliedAt = w.process.repliedAt
+	}
+	w.process.confirmedAs = w.certainProcess
+	w.process, w.certainProcess = w.certainProcess, nil
+}
+
 // assumeProcessReplaced makes a worker count as unconfirmed and cold, unless the endpoint list shows otherwise.
 func (r *Router) assumeProcessReplaced(w *worker) {
 	if !r.hasLeases() {
 		return
 	}
-	w.process = &process{group: w.process.group}
+	w.process, w.certainProcess = &process{group: w.process.group}, nil
 	w.disconnectedAt, w.reconnectedAt = r.now, 0
 	if !r.isDiscoveryAvailable() {
 		r.restartSlowStart(w)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -164,6 +164,18 @@
 	d.router.OnDisconnected(d.now, worker)
 }
 
+// OnProcessUncertain records that a new connection to a worker may reach another process than the earlier ones.
+func (d *Dispatcher) OnProcessUncertain(now units.Seconds, worker control.WorkerID) {
+	d.advance(now)
+	d.router.OnProcessUncertain(d.now, worker)
+}
+
+// OnProcessConfirmed records that all connections to a worker reach the same process.
+func (d *Dispatcher) OnProcessConfirmed(now units.Seconds, worker control.WorkerID) {
+	d.advance(now)
+	d.router.OnProcessConfirmed(d.now, worker)
+}
+
 // OnGossip processes a gossip message from another front end.
 func (d *Dispatcher) OnGossip(now units.Seconds, message []byte) {
 	d.advance(now)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -73,6 +73,16 @@
 	h.proxy.dispatcher.OnDisconnected(h.proxy.host.Now(), worker)
 }
 
+// OnProcessUncertain implements upstream.ExchangeHandler.
+func (h exchangeHandler) OnProcessUncertain(worker control.WorkerID) {
+	h.proxy.dispatcher.OnProcessUncertain(h.proxy.host.Now(), worker)
+}
+
+// OnProcessConfirmed implements upstream.ExchangeHandler.
+func (h exchangeHandler) OnProcessConfirmed(worker control.WorkerID) {
+	h.proxy.dispatcher.OnProcessConfirmed(h.proxy.host.Now(), worker)
+}
+
 // AuthorizeAttempt implements upstream.ExchangeHandler.
 func (h exchangeHandler) AuthorizeAttempt(id uint64) dispatch.SendPermit {
 	p := h.proxy
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -20,9 +20,15 @@
 	AuthorizeLoad(id uint64) dispatch.SendPermit
 	OnAttemptReply(id uint64, reply dispatch.WorkerReply)
 	OnLoadReply(id uint64, outcome control.Outcome, replicas int)
-	// OnDisconnected reports that the last established connection to a worker has ended. From then on, another process may
-	// listen at its address.
+	// OnDisconnected reports that the last established connection to a worker has ended, or the last one that is known to
+	// reach the process at which the earlier ones were made. From then on, another process may listen at its address.
 	OnDisconnected(worker control.WorkerID)
+	// OnProcessUncertain reports that a connection to a worker was established beside others. It reaches another process than
+	// they do if theirs has ended without closing them. OnProcessConfirmed or OnDisconnected follows.
+	OnProcessUncertain(worker control.WorkerID)
+	// OnProcessConfirmed reports that all connections to a worker reach the same process: an earlier one has received a message
+	// since the later ones were established.
+	OnProcessConfirmed(worker control.WorkerID)
 }
 
 // Exchange is the state of an attempt or load command that both protocols share. It exists from the call that passes it to
--- a/internal/upstream/frames/connection.go
+++ b/internal/upstream/frames/connection.go
@@ -22,6 +22,7 @@
 	framer   framer
 	recent   recentIDs
 	draining bool // the worker is draining, was removed, changed its address or restarted: no new exchanges
+	verified bool // reaches the same process as the connections established before it
 }
 
 // canCarry reports whether an exchange with the given wire ID may be added. A recently used wire ID is refused, because a
--- a/internal/upstream/frames/pool.go
+++ b/internal/upstream/frames/pool.go
@@ -43,14 +43,16 @@
 	transport      Transport
 	handler        upstream.ExchangeHandler
 	endpoints      map[control.WorkerID]endpoint
-	lastLoadWireID uint64 // without loadWireIDBit
+	uncertain      map[control.WorkerID]bool // workers with a connection whose process was not verified yet
+	lastLoadWireID uint64                    // without loadWireIDBit
 }
 
 // NewPool returns a pool without endpoints.
 func NewPool(limits Limits, transport Transport, handler upstream.ExchangeHandler) *Pool {
 	return &Pool{
 		Pool:   upstream.NewPool[*connection, *exchange](transport, handler),
-		limits: limits, transport: transport, handler: handler, endpoints: map[control.WorkerID]endpoint{},
+		limits: limits, transport: transport, handler: handler,
+		endpoints: map[control.WorkerID]endpoint{}, uncertain: map[control.WorkerID]bool{},
 	}
 }
 
@@ -75,6 +77,7 @@
 
 // drainWorker drains a worker's existing connections.
 func (p *Pool) drainWorker(worker control.WorkerID) {
+	delete(p.uncertain, worker)
 	for _, c := range slices.Clone(p.Connections.ForWorker(worker)) {
 		c.draining = true
 		for _, e := range c.takeWaiting() {
--- a/internal/upstream/frames/receive.go
+++ b/internal/upstream/frames/receive.go
@@ -34,6 +34,7 @@
 		p.Connections.Remove(c)
 		p.failOpen(c)
 	default:
+		p.verifyEstablished(c)
 		for _, e := range c.takeWaiting() {
 			p.write(c, e)
 		}
@@ -70,6 +71,7 @@
 		if !ok {
 			break
 		}
+		p.verifyLaterConnections(c)
 		p.onReply(now, c, r)
 	}
 	c.framer.compact()
@@ -109,15 +111,49 @@
 	p.failOpen(c)
 }
 
-// reportDisconnection reports that the last established connection to a worker has ended, if c was that connection. It does
+// reportDisconnection reports that the last verified connection to a worker has ended, if c was that connection. It does
 // so whichever side closed it, because another process may have the worker's address when the next connection is dialed.
+//
+// Connections that are not verified remain. They count as those of the process that is assumed from now on.
 func (p *Pool) reportDisconnection(c *connection) {
-	if c.Established && !c.draining && !p.isConnected(c.Worker) {
-		p.handler.OnDisconnected(c.Worker)
+	if !c.Established || c.draining || p.hasVerified(c.Worker) {
+		return
+	}
+	p.handler.OnDisconnected(c.Worker)
+	p.setVerified(c.Worker)
+}
+
+// verifyEstablished verifies a connection that was just established if there is no other to its worker. Beside others it is
+// uncertain which process it reaches, until one of them receives a message.
+func (p *Pool) verifyEstablished(c *connection) {
+	c.verified = !p.hasVerified(c.Worker)
+	if !c.verified {
+		p.uncertain[c.Worker] = true
+		p.handler.OnProcessUncertain(c.Worker)
+	}
+}
+
+// verifyLaterConnections verifies the other connections to the worker of a verified one, which has received a message: its
+// process was alive when they were established at its address.
+func (p *Pool) verifyLaterConnections(c *connection) {
+	if !p.uncertain[c.Worker] || !c.verified || c.draining {
+		return
+	}
+	p.setVerified(c.Worker)
+	p.handler.OnProcessConfirmed(c.Worker)
+}
+
+// setVerified makes all established connections to a worker count as verified, those that are draining apart.
+func (p *Pool) setVerified(worker control.WorkerID) {
+	delete(p.uncertain, worker)
+	for _, c := range p.Connections.ForWorker(worker) {
+		c.verified = c.verified || c.Established && !c.draining
 	}
 }
 
-// isConnected reports whether a connection to a worker is established and not draining.
-func (p *Pool) isConnected(worker control.WorkerID) bool {
-	return slices.ContainsFunc(p.Connections.ForWorker(worker), func(c *connection) bool { return c.Established && !c.draining })
+// hasVerified reports whether a connection to a worker is established, verified and not draining.
+func (p *Pool) hasVerified(worker control.WorkerID) bool {
+	return slices.ContainsFunc(p.Connections.ForWorker(worker), func(c *connection) bool {
+		return c.Established && c.verified && !c.draining
+	})
 }
--- a/internal/verification/goldentest/workers.go
+++ b/internal/verification/goldentest/workers.go
@@ -72,6 +72,12 @@
 // OnDisconnected implements upstream.ExchangeHandler.
 func (*FakeWorkers) OnDisconnected(control.WorkerID) {}
 
+// OnProcessUncertain implements upstream.ExchangeHandler.
+func (*FakeWorkers) OnProcessUncertain(control.WorkerID) {}
+
+// OnProcessConfirmed implements upstream.ExchangeHandler.
+func (*FakeWorkers) OnProcessConfirmed(control.WorkerID) {}
+
 // AuthorizeLoad implements upstream.ExchangeHandler.
 func (*FakeWorkers) AuthorizeLoad(uint64) dispatch.SendPermit { return dispatch.PermitSend(0) }
 
