--- a/control/admission.go
+++ b/control/admission.go
@@ -58,17 +58,3 @@
 	r.finish(req)
 	return true
 }
-
-// isRetrySafe reports whether the client may retry the request, on any worker.
-func (r *Router) isRetrySafe(req *request) bool {
-	if !req.possiblyExecuted || req.class.Semantics == Idempotent {
-		return true
-	}
-	return req.class.DeduplicationScope == ScopeFleet && r.isRetryDeduplicated(req)
-}
-
-// isRetryDeduplicated reports whether the workers in the deduplication scope still retain the idempotency key.
-func (r *Router) isRetryDeduplicated(req *request) bool {
-	inWindow := r.now < req.firstExecutionAt+req.class.DeduplicationWindow
-	return req.class.Semantics == IdempotentByKey && inWindow
-}
--- a/control/replica_selection.go
+++ b/control/replica_selection.go
@@ -118,15 +118,6 @@
 	return r.mayUse(w) && r.isRepeatSafe(req, w)
 }
 
-// isRepeatSafe reports whether w may execute req even if another attempt has been executed. A request that may already have
-// been executed is retried only if it is idempotent or the process at w deduplicates its key.
-func (r *Router) isRepeatSafe(req *request, w *worker) bool {
-	if !req.possiblyExecuted || req.class.Semantics == Idempotent {
-		return true
-	}
-	return r.isRetryDeduplicated(req) && r.recognizesKey(w, req)
-}
-
 // candidateOrder returns the serving workers in rendezvous order or, for a request that prefers identified processes, those
 // with an identified process before the others.
 func (r *Router) candidateOrder(req *request) []*worker {
--- a/control/worker.go
+++ b/control/worker.go
@@ -52,21 +52,3 @@
 	w.grantedCredits = 0
 	w.usedCredits = 0
 }
-
-// deduplicationGroup holds the properties of a worker that decide with which others it shares idempotency keys.
-type deduplicationGroup struct {
-	zone          ZoneID
-	failureDomain int
-}
-
-// inSameScope reports whether the workers of two groups share idempotency keys under scope.
-func inSameScope(scope DeduplicationScope, a, b deduplicationGroup) bool {
-	switch scope {
-	case ScopeFleet:
-		return true
-	case ScopeZone:
-		return a.zone == b.zone
-	default:
-		return a == b
-	}
-}
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -5,9 +5,6 @@
 // Worker processes: a worker is an entry of the endpoint list, at whose address another process may respond after the last
 // connection has ended. Discovery reports the new process. Until it confirms the list as of a later time, the lease of the
 // worker counts as unconfirmed, and the worker as cold from its first response on.
-//
-// Idempotency keys are remembered by processes. A request therefore records the process of its first execution and not the
-// worker: the entry may change, or turn out to have been that of another process, before the request is attempted again.
 
 // process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
 // entry in the endpoint list to the next.
@@ -50,36 +47,6 @@
 	return r.isDiscoveryAvailable() || w.process.identified
 }
 
-// isFirstExecutionIdentified reports whether the process that may have executed req first was the one that the endpoint list
-// described then. It is if discovery has been available without interruption since the attempt started. An outage that has
-// ended in the meantime does not identify it, because the worker's entry may have been outdated when the attempt was sent.
-func (r *Router) isFirstExecutionIdentified(req *request) bool {
-	isUninterrupted := r.isDiscoveryAvailable() && req.firstExecutionAt >= r.discovery.uninterruptedSince
-	return req.firstExecutionBy.confirmed().identified || isUninterrupted
-}
-
-// recognizesKey reports whether the process at the address of w recognizes the idempotency key of req, which may have been
-// executed, while the key is retained. A process that may be another than the listed one recognizes only the keys of the
-// requests that it executed itself.
-func (r *Router) recognizesKey(w *worker, req *request) bool {
-	scope := req.class.DeduplicationScope
-	isSameProcess := w.process == req.firstExecutionBy.confirmed() && w.certainProcess == nil
-	if scope == ScopeFleet || isSameProcess {
-		return true
-	}
-	areIdentified := r.isProcessIdentified(w) && r.isFirstExecutionIdentified(req)
-	return areIdentified && inSameScope(scope, w.process.group, req.firstExecutionBy.group)
-}
-
-// prefersIdentifiedProcess reports whether the first execution of req should be on an identified process: if it fails, other
-// workers can repeat it only then.
-func (r *Router) prefersIdentifiedProcess(req *request) bool {
-	if r.isDiscoveryAvailable() || req.possiblyExecuted {
-		return false
-	}
-	return req.class.Semantics == IdempotentByKey && req.class.DeduplicationScope != ScopeFleet
-}
-
 // partitionByIdentity splits workers into those whose process is identified and the others, in the order given.
 func (r *Router) partitionByIdentity(workers []*worker) (identified, others []*worker) {
 	for _, w := range workers {
@@ -92,19 +59,6 @@
 	return identified, others
 }
 
-// MayExecute reports whether the process that an attempt of a request reaches now may execute it, and records that process.
-// The host calls it when it sends the bytes, in addition to MaySend: since the decision, the connections to the worker may
-// have ended, or its entry in the endpoint list may have changed.
-func (r *Router) MayExecute(now units.Seconds, id RequestID) bool {
-	r.advance(now)
-	req := r.requests[id]
-	if req == nil || !req.inFlight || !r.isRepeatSafe(req, req.worker) {
-		return false
-	}
-	req.attemptedBy = req.worker.process
-	return true
-}
-
 // OnDisconnected handles the end of the last established connection to a worker. Unless discovery confirms the list
 // afterwards, the process may have terminated and another one, which is cold, may have taken over its address.
 func (r *Router) OnDisconnected(now units.Seconds, id WorkerID) {
