Identify the earlier process of a worker too while a later connection is uncertain, and test the scopes

Cause: a confirmation of the list that came while a later connection was uncertain identified the uncertain process alone; the one from before waited for the next. Change: both are identified if they responded before it. TestKeyedRetry_Scopes has the scopes fleet, zone and failure domain.

--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -220,6 +220,31 @@
 	}
 }
 
+// A process that is not identified shares keys with nobody in scopes smaller than the fleet, and an identified one with its scope.
+func TestKeyedRetry_Scopes(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope        DeduplicationScope
+		disconnected bool
+		want         int // workers that may execute the request again
+	}{
+		"fleet": {ScopeFleet, false, 3}, "fleet, disconnected": {ScopeFleet, true, 3},
+		"zone": {ScopeZone, false, 3}, "zone, disconnected": {ScopeZone, true, 1},
+		"failure domain": {ScopeFailureDomain, false, 2}, "failure domain, disconnected": {ScopeFailureDomain, true, 1},
+	} {
+		h := newKeyedHost()
+		classes := h.router.deployment.RequestClasses
+		classes[len(classes)-1].DeduplicationScope = c.scope
+		h.loseDiscovery()
+		if c.disconnected {
+			h.disconnect(h.home)
+		}
+		h.send()
+		if safe := h.end(Failed); len(safe) != c.want {
+			t.Errorf("%s: may be executed again by %v, want %d", name, safe, c.want)
+		}
+	}
+}
+
 // Guards against a further attempt of a keyed request that was decided for one process and is written to its successor: while
 // the attempt waited for a dial, the connections to the worker ended.
 func TestKeyedRetry_ProcessReplacedBeforeWrite(t *testing.T) {
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -36,8 +36,17 @@
 // identifyProcess records that the endpoint list, with w on it, was complete at asOf or later. A process that had responded
 // by then is the listed one: a successor takes an address only after discovery has reported the end of its predecessor.
 func (w *worker) identifyProcess(asOf units.Seconds) {
-	p := w.process
-	if w.state != Removed && p.repliedAt > 0 && p.repliedAt <= asOf {
+	if w.state == Removed {
+		return
+	}
+	w.process.identify(asOf)
+	if w.certainProcess != nil {
+		w.certainProcess.identify(asOf)
+	}
+}
+
+func (p *process) identify(asOf units.Seconds) {
+	if p.repliedAt > 0 && p.repliedAt <= asOf {
 		p.identified = true
 	}
 }
