Load a replica on an identified process for keyed requests whose only one is on another

Cause (its record): all 13 are of one function, whose only warm replica was on a successor; it counted towards the target, so that no other was loaded, and nobody else may repeat what the successor failed. Change: for requests that prefer identified processes, only replicas on these count towards the target. TestKeyedRequest_LoadsBesideUnidentifiedProcess fails without it.

--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -329,6 +329,27 @@
 	}
 }
 
+// Guards against final errors of keyed requests whose function has its only replica on a process that is not identified: another
+// one is loaded on an identified process.
+func TestKeyedRequest_LoadsBesideUnidentifiedProcess(t *testing.T) {
+	for _, class := range []string{"idempotent", "keyed"} {
+		h := newKeyedHost()
+		h.disconnect(h.home)
+		h.pass()
+		h.router.OnDiscoveryAvailable(h.now, h.now)
+		h.loseDiscovery()
+		for _, w := range h.router.workers {
+			h.confirm(w.id)
+		}
+		h.clear()
+		h.router.functionsByID["f"].loadCooldownUntil = 0
+		h.router.OnRequest(h.now, Request{ID: "a", Class: class, Function: "f", TimeLeft: 3, Concurrency: 4})
+		if wantsLoad := class == "keyed"; len(h.attempts) != 1 || (len(h.loads) == 1) != wantsLoad {
+			t.Errorf("%s: attempts %v, loads %v", class, h.attempts, h.loads)
+		}
+	}
+}
+
 // Guards against a process that is taken for the listed one by the response of an earlier one: an attempt was in flight when its
 // worker drained and returned, and its response arrived on the connection from before.
 func TestProcess_ResponseOfEarlierConnectionIdentifiesNone(t *testing.T) {
--- a/control/replica_selection.go
+++ b/control/replica_selection.go
@@ -76,7 +76,7 @@
 			break
 		}
 	}
-	return r.leastLoaded(r.preferredCandidates(req, candidates)), target - len(candidates) - rejecting
+	return r.leastLoaded(r.preferredCandidates(req, candidates)), target - r.countAdequate(req, candidates) - rejecting
 }
 
 // retryRejectingReplica sends a request again to a warm replica whose worker has rejected it, if no other can serve it: the
@@ -129,6 +129,16 @@
 	return append(identified, others...)
 }
 
+// countAdequate returns how many of the candidates count towards the target replicas: for a request that prefers identified
+// processes only those with one, so that a replica is loaded on another worker too.
+func (r *Router) countAdequate(req *request, candidates []*worker) int {
+	if !r.prefersIdentifiedProcess(req) {
+		return len(candidates)
+	}
+	identified, _ := r.partitionByIdentity(candidates)
+	return len(identified)
+}
+
 // preferredCandidates returns those of the candidates that hold leases, and of these the ones with an identified process if
 // the request prefers it. A preference that none satisfies has no effect.
 func (r *Router) preferredCandidates(req *request, candidates []*worker) []*worker {
