Tests of keyed retries as tables of steps

Change: each row is a list of named steps; the tests of scopes, of preferred workers and of loads are rows.

--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -29,27 +30,13 @@
 	for _, id := range []WorkerID{h.home, h.sibling, h.stranger} {
 		h.reply(id)
 	}
-	h.pass()
-	h.router.OnDiscoveryAvailable(h.now, h.now)
-	h.pass()
+	h.play("list")
 	return h
 }
 
 // pass advances the clock by less than a tick.
 func (h *keyedHost) pass() { h.now += 0.01 }
 
-// send sends the keyed request to the home, which holds a lease and has credits.
-func (h *keyedHost) send() {
-	h.pass()
-	h.confirm(h.home)
-	h.router.OnRequest(h.now, Request{ID: "keyed", Class: "keyed", Function: "f", TimeLeft: 3, Concurrency: 4})
-	h.request = h.router.requests["keyed"]
-	if !slices.Contains(h.attempts, "keyed@"+string(h.home)) || !h.router.MayExecute(h.now, "keyed") {
-		panic("no attempt on the home")
-	}
-	h.pass()
-}
-
 // confirm makes a worker hold a lease and credits.
 func (h *keyedHost) confirm(id WorkerID) {
 	w := h.router.workersByID[id]
@@ -63,143 +50,59 @@
 	h.router.onReply(w, w.process, Succeeded)
 }
 
-func (h *keyedHost) disconnect(id WorkerID) {
-	h.pass()
-	h.router.OnDisconnected(h.now, id)
-}
-
-func (h *keyedHost) loseDiscovery() {
-	h.router.OnDiscoveryUnavailable(h.now)
-	h.advance(testDrainGrace)
+// send sends the keyed request to the home, which holds a lease and has credits.
+func (h *keyedHost) send() {
+	h.confirm(h.home)
+	h.router.OnRequest(h.now, Request{ID: "keyed", Class: "keyed", Function: "f", TimeLeft: 3, Concurrency: 4})
+	h.request = h.router.requests["keyed"]
+	if !slices.Contains(h.attempts, "keyed@"+string(h.home)) || !h.router.MayExecute(h.now, "keyed") {
+		panic("no attempt on the home")
+	}
 }
 
-// list applies an update of the home and confirms the list.
-func (h *keyedHost) list(home Worker) {
-	h.pass()
+// update applies an update of the home.
+func (h *keyedHost) update(home Worker) {
 	home.ID, home.Weight = h.home, 1
 	h.router.OnEndpointUpdate(h.now, Delta, []Worker{home})
-	h.pass()
-	h.router.OnDiscoveryAvailable(h.now, h.now)
 }
 
-// end ends the attempt, and returns the workers that may execute the request again.
-func (h *keyedHost) end(outcome Outcome) (safe []WorkerID) {
-	h.pass()
-	h.endAttempt("keyed", h.home, outcome, 0.01)
+// keyedSteps are the steps of a keyed request's course. Each takes place a little later than the one before.
+var keyedSteps = map[string]func(h *keyedHost){
+	"outage":     func(h *keyedHost) { h.router.OnDiscoveryUnavailable(h.now); h.advance(testDrainGrace) },
+	"list":       func(h *keyedHost) { h.router.OnDiscoveryAvailable(h.now, h.now) },
+	"disconnect": func(h *keyedHost) { h.router.OnDisconnected(h.now, h.home) },
+	"uncertain":  func(h *keyedHost) { h.router.OnProcessUncertain(h.now, h.home) },
+	"confirmed":  func(h *keyedHost) { h.router.OnProcessConfirmed(h.now, h.home) },
+	"drain":      func(h *keyedHost) { h.update(Worker{FailureDomain: 1, State: Draining}) },
+	"return":     func(h *keyedHost) { h.update(Worker{FailureDomain: 1}) },
+	"remove":     func(h *keyedHost) { h.update(Worker{FailureDomain: 1, State: Removed}) },
+	"move":       func(h *keyedHost) { h.update(Worker{FailureDomain: 2}) },
+	"reply":      func(h *keyedHost) { h.reply(h.home) },
+	"send":       (*keyedHost).send,
+	"failed":     func(h *keyedHost) { h.endAttempt("keyed", h.home, Failed, 0.01) },
+	"lost":       func(h *keyedHost) { h.endAttempt("keyed", h.home, ConnectionLost, 0.01) },
+}
+
+func (h *keyedHost) play(steps string) {
+	for step := range strings.FieldsSeq(steps) {
+		h.pass()
+		keyedSteps[step](h)
+	}
+}
+
+// repeatable returns the workers that may execute the request again.
+func (h *keyedHost) repeatable() string {
+	var safe []string
 	for _, id := range []WorkerID{h.home, h.sibling, h.stranger} {
 		if w := h.router.workersByID[id]; w.state == Serving && h.router.isRepeatSafe(h.request, w) {
-			safe = append(safe, id)
+			safe = append(safe, h.names()[id])
 		}
 	}
-	return safe
-}
-
-// keyedRetryCase is the course of a keyed request's first attempt on the home.
-type keyedRetryCase struct {
-	play func(h *keyedHost) []WorkerID
-	want []string // workers that may execute the request again
+	return strings.Join(safe, " ")
 }
 
-var (
-	onlyHome      = []string{"home"}
-	onlySibling   = []string{"sibling"}
-	failureDomain = []string{"home", "sibling"}
-)
-
-var keyedRetryCases = map[string]keyedRetryCase{
-	"identified process": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.send()
-		return h.end(Failed)
-	}, failureDomain},
-	"disconnected before the attempt": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.disconnect(h.home)
-		h.send()
-		return h.end(Failed)
-	}, onlyHome},
-	"disconnected before the outage was detected": {func(h *keyedHost) []WorkerID {
-		h.disconnect(h.home)
-		h.loseDiscovery()
-		h.send()
-		return h.end(Failed)
-	}, onlyHome},
-	"not connected when the outage began": {func(h *keyedHost) []WorkerID {
-		h.disconnect(h.home)
-		h.pass()
-		h.router.OnDiscoveryAvailable(h.now, h.now)
-		h.loseDiscovery()
-		h.send()
-		return h.end(Failed)
-	}, onlyHome},
-	"connection lost during the attempt": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.send()
-		h.disconnect(h.home)
-		return h.end(ConnectionLost)
-	}, onlySibling},
-	"successor lost during the attempt": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.disconnect(h.home)
-		h.send()
-		h.disconnect(h.home)
-		return h.end(ConnectionLost)
-	}, nil},
-	"list confirms the process before the result": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.disconnect(h.home)
-		h.send()
-		h.reply(h.home)
-		h.pass()
-		h.router.OnDiscoveryAvailable(h.now, h.now)
-		return h.end(Failed)
-	}, failureDomain},
-	"list shows the successor before the result": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.disconnect(h.home)
-		h.send()
-		h.reply(h.home)
-		h.list(Worker{FailureDomain: 1, State: Removed})
-		return h.end(Failed)
-	}, nil},
-	"failure domain changed before the result": {func(h *keyedHost) []WorkerID {
-		h.send()
-		h.list(Worker{FailureDomain: 2})
-		return h.end(Failed)
-	}, onlySibling},
-	"later connection to an uncertain process": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.router.OnProcessUncertain(h.now, h.home)
-		h.send()
-		return h.end(Failed)
-	}, nil},
-	"later connection, process confirmed before the result": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.router.OnProcessUncertain(h.now, h.home)
-		h.send()
-		h.router.OnProcessConfirmed(h.now, h.home)
-		return h.end(Failed)
-	}, failureDomain},
-	"later connection to the successor, process confirmed": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.disconnect(h.home)
-		h.router.OnProcessUncertain(h.now, h.home)
-		h.send()
-		h.router.OnProcessConfirmed(h.now, h.home)
-		return h.end(Failed)
-	}, onlyHome},
-	"later connection, earlier ones ended": {func(h *keyedHost) []WorkerID {
-		h.loseDiscovery()
-		h.router.OnProcessUncertain(h.now, h.home)
-		h.send()
-		h.disconnect(h.home)
-		return h.end(Failed)
-	}, nil},
-	"new connection while discovery is available": {func(h *keyedHost) []WorkerID {
-		h.disconnect(h.home)
-		h.send()
-		return h.end(Failed)
-	}, failureDomain},
+func (h *keyedHost) names() map[WorkerID]string {
+	return map[WorkerID]string{h.home: "home", h.sibling: "sibling", h.stranger: "stranger"}
 }
 
 // Guards against a keyed request that is executed in two failure domains: its first attempt ran on the successor of a worker,
@@ -207,40 +110,50 @@
 // endpoint list still named (review, case 1). What counts is the process that the attempt reached, as it was known when the
 // attempt left.
 func TestKeyedRetry_ProcessOfFirstExecution(t *testing.T) {
-	for name, c := range keyedRetryCases {
-		h := newKeyedHost()
-		names := map[WorkerID]string{h.home: "home", h.sibling: "sibling", h.stranger: "stranger"}
-		var got []string
-		for _, id := range c.play(h) {
-			got = append(got, names[id])
-		}
-		if !slices.Equal(got, c.want) {
-			t.Errorf("%s: may be executed again by %v, want %v", name, got, c.want)
-		}
-	}
-}
-
-// A process that is not identified shares keys with nobody in scopes smaller than the fleet, and an identified one with its scope.
-func TestKeyedRetry_Scopes(t *testing.T) {
 	for name, c := range map[string]struct {
-		scope        DeduplicationScope
-		disconnected bool
-		want         int // workers that may execute the request again
+		steps, want string
+		scope       DeduplicationScope
 	}{
-		"fleet": {ScopeFleet, false, 3}, "fleet, disconnected": {ScopeFleet, true, 3},
-		"zone": {ScopeZone, false, 3}, "zone, disconnected": {ScopeZone, true, 1},
-		"failure domain": {ScopeFailureDomain, false, 2}, "failure domain, disconnected": {ScopeFailureDomain, true, 1},
+		"identified process":                           {"outage send failed", "home sibling", ScopeFailureDomain},
+		"identified process, scope zone":               {"outage send failed", "home sibling stranger", ScopeZone},
+		"identified process, scope fleet":              {"outage send failed", "home sibling stranger", ScopeFleet},
+		"disconnected before the attempt":              {"outage disconnect send failed", "home", ScopeFailureDomain},
+		"disconnected before the attempt, scope zone":  {"outage disconnect send failed", "home", ScopeZone},
+		"disconnected before the attempt, scope fleet": {"outage disconnect send failed", "home sibling stranger", ScopeFleet},
+		"disconnected before the outage was detected":  {"disconnect outage send failed", "home", ScopeFailureDomain},
+		"not connected when the outage began":          {"disconnect list outage send failed", "home", ScopeFailureDomain},
+		"connection lost during the attempt":           {"outage send disconnect lost", "sibling", ScopeFailureDomain},
+		"successor lost during the attempt":            {"outage disconnect send disconnect lost", "", ScopeFailureDomain},
+		"list confirms the process before the result":  {"outage disconnect send reply list failed", "home sibling", ScopeFailureDomain},
+		"list shows the successor before the result":   {"outage disconnect send reply remove list failed", "", ScopeFailureDomain},
+		"failure domain changed before the result":     {"send move list failed", "sibling", ScopeFailureDomain},
+		"new connection while discovery is available":  {"disconnect send failed", "home sibling", ScopeFailureDomain},
+		"later connection to an uncertain process":     {"outage uncertain send failed", "", ScopeFailureDomain},
+		"later connection, process confirmed":          {"outage uncertain send confirmed failed", "home sibling", ScopeFailureDomain},
+		"later connection to the successor, confirmed": {"outage disconnect uncertain send confirmed failed", "home", ScopeFailureDomain},
+		"later connection, earlier ones ended":         {"outage uncertain send disconnect failed", "", ScopeFailureDomain},
 	} {
 		h := newKeyedHost()
 		classes := h.router.deployment.RequestClasses
 		classes[len(classes)-1].DeduplicationScope = c.scope
-		h.loseDiscovery()
-		if c.disconnected {
-			h.disconnect(h.home)
+		h.play(c.steps)
+		if got := h.repeatable(); got != c.want {
+			t.Errorf("%s: may be executed again by %q, want %q", name, got, c.want)
 		}
-		h.send()
-		if safe := h.end(Failed); len(safe) != c.want {
-			t.Errorf("%s: may be executed again by %v, want %d", name, safe, c.want)
+	}
+}
+
+// Guards against a process that is taken for the listed one by the response of an earlier one: an attempt was in flight when its
+// worker drained and returned, and its response arrived on the connection from before.
+func TestProcess_ResponseOfEarlierConnectionIdentifiesNone(t *testing.T) {
+	for steps, want := range map[string]bool{
+		"disconnect send failed list outage":                        true,
+		"disconnect send drain list return list failed list outage": false,
+	} {
+		h := newKeyedHost()
+		h.play(steps)
+		if got := h.router.isProcessIdentified(h.router.workersByID[h.home]); got != want {
+			t.Errorf("%s: identified %v, want %v", steps, got, want)
 		}
 	}
 }
@@ -253,21 +166,20 @@
 		want    bool
 	}{
 		"same process": {func(*keyedHost, WorkerID) {}, true},
-		"disconnected": {func(h *keyedHost, id WorkerID) { h.disconnect(id); h.pass(); h.confirm(id) }, false},
+		"disconnected": {func(h *keyedHost, id WorkerID) { h.router.OnDisconnected(h.now, id) }, false},
 		"other failure domain": {func(h *keyedHost, id WorkerID) {
 			h.router.OnEndpointUpdate(h.now, Delta, []Worker{{ID: id, FailureDomain: 7, Weight: 1}})
 		}, false},
 	} {
 		h := newKeyedHost()
-		h.loseDiscovery()
+		h.play("outage")
 		h.confirm(h.sibling)
 		h.router.functionsByID["f"].ensureReplica(h.router.workersByID[h.sibling]).markWarm(h.now)
-		h.send()
-		h.clear()
-		h.end(Failed)
-		if len(h.attempts) != 1 {
-			t.Fatalf("%s: attempts %v, want one", name, h.attempts)
+		h.play("send failed")
+		if len(h.attempts) != 2 {
+			t.Fatalf("%s: attempts %v, want two", name, h.attempts)
 		}
+		h.pass()
 		c.replace(h, h.request.worker.id)
 		if got := h.router.MayExecute(h.now, "keyed"); got != c.want {
 			t.Errorf("%s: may be written to %s: %v", name, h.request.worker.id, got)
@@ -275,100 +187,49 @@
 	}
 }
 
-// Guards against final errors of keyed requests during a discovery outage: their first attempt went to a worker whose process was
-// not identified and failed, so that no other worker could repeat them, while identified ones had capacity.
+// Guards against final errors of keyed requests during a discovery outage: their first attempt went to a process that was not
+// identified and failed, so that no other worker could repeat them. Identified ones are preferred for attempts and loads, and a
+// replica is loaded on one beside a replica on another process.
 func TestKeyedRequest_PrefersIdentifiedProcess(t *testing.T) {
-	for name, c := range map[string]struct {
-		class        string
-		disconnected []string
-		want         string
-	}{
-		"all identified":         {"keyed", nil, "home"},
-		"one not identified":     {"keyed", []string{"home"}, "stranger"},
-		"none identified":        {"keyed", []string{"home", "stranger"}, "home"},
-		"class without the rule": {"idempotent", []string{"home"}, "home"},
+	for name, c := range map[string]struct{ class, unidentified, warm, attemptOn, loadOn string }{
+		"all identified":              {"keyed", "", "home stranger", "home", ""},
+		"one not identified":          {"keyed", "home", "home stranger", "stranger", ""},
+		"none identified":             {"keyed", "home sibling stranger", "home stranger", "home", "sibling"},
+		"no preference":               {"idempotent", "home", "home stranger", "home", ""},
+		"only replica":                {"keyed", "home", "home", "home", "stranger"},
+		"only replica, no preference": {"idempotent", "home", "home", "home", ""},
+		"no replica":                  {"keyed", "home", "", "", "stranger"},
+		"no replica, no preference":   {"idempotent", "home", "", "", "home"},
+		"no replica, none identified": {"keyed", "home sibling stranger", "", "", "home"},
 	} {
 		h := newKeyedHost()
-		ids := map[string]WorkerID{"home": h.home, "stranger": h.stranger}
-		for _, worker := range c.disconnected {
-			h.disconnect(ids[worker])
-		}
-		h.pass()
-		h.router.OnDiscoveryAvailable(h.now, h.now) // the workers are not cold
-		h.loseDiscovery()
-		for _, id := range ids {
+		fn := h.router.functionsByID["f"]
+		fn.replicas, fn.loadCooldownUntil = nil, 0
+		for id, name := range h.names() {
+			if strings.Contains(c.unidentified, name) {
+				h.router.OnDisconnected(h.now, id)
+			}
+		}
+		h.play("list outage") // the list confirms that no worker is cold
+		for id, name := range h.names() {
 			h.confirm(id)
-			h.router.functionsByID["f"].ensureReplica(h.router.workersByID[id]).markWarm(h.now)
+			if strings.Contains(c.warm, name) {
+				fn.ensureReplica(h.router.workersByID[id]).markWarm(h.now)
+			}
 		}
 		h.clear()
 		h.router.OnRequest(h.now, Request{ID: "a", Class: c.class, Function: "f", TimeLeft: 3, Concurrency: 4})
-		if want := []string{"a@" + string(ids[c.want])}; !slices.Equal(h.attempts, want) {
-			t.Errorf("%s: attempts %v, want %v", name, h.attempts, want)
-		}
-	}
-}
-
-// The load command for a keyed request goes to an identified process too.
-func TestKeyedRequest_LoadsOnIdentifiedProcess(t *testing.T) {
-	for _, class := range []string{"idempotent", "keyed"} {
-		h := newKeyedHost()
-		h.disconnect(h.home)
-		h.pass()
-		h.router.OnDiscoveryAvailable(h.now, h.now)
-		h.loseDiscovery()
-		for _, w := range h.router.workers {
-			h.confirm(w.id)
-		}
-		h.router.functionsByID["f"].replicas = nil
-		h.clear()
-		h.router.OnRequest(h.now, Request{ID: "a", Class: class, Function: "f", TimeLeft: 3, Concurrency: 4})
-		onHome := slices.Equal(h.loads, h.at("%s/f"))
-		if len(h.loads) != 1 || onHome != (class == "idempotent") {
-			t.Errorf("%s: loads %v, home %s", class, h.loads, h.home)
-		}
-	}
-}
-
-// Guards against final errors of keyed requests whose function has its only replica on a process that is not identified: another
-// one is loaded on an identified process.
-func TestKeyedRequest_LoadsBesideUnidentifiedProcess(t *testing.T) {
-	for _, class := range []string{"idempotent", "keyed"} {
-		h := newKeyedHost()
-		h.disconnect(h.home)
-		h.pass()
-		h.router.OnDiscoveryAvailable(h.now, h.now)
-		h.loseDiscovery()
-		for _, w := range h.router.workers {
-			h.confirm(w.id)
-		}
-		h.clear()
-		h.router.functionsByID["f"].loadCooldownUntil = 0
-		h.router.OnRequest(h.now, Request{ID: "a", Class: class, Function: "f", TimeLeft: 3, Concurrency: 4})
-		if wantsLoad := class == "keyed"; len(h.attempts) != 1 || (len(h.loads) == 1) != wantsLoad {
-			t.Errorf("%s: attempts %v, loads %v", class, h.attempts, h.loads)
-		}
-	}
-}
-
-// Guards against a process that is taken for the listed one by the response of an earlier one: an attempt was in flight when its
-// worker drained and returned, and its response arrived on the connection from before.
-func TestProcess_ResponseOfEarlierConnectionIdentifiesNone(t *testing.T) {
-	for name, c := range map[string]struct {
-		states []EndpointState // of the updates between the attempt and its response
-		want   bool
-	}{"same entry": {nil, true}, "drained and returned": {[]EndpointState{Draining, Serving}, false}} {
-		h := newKeyedHost()
-		h.disconnect(h.home)
-		h.send()
-		for _, state := range c.states {
-			h.list(Worker{FailureDomain: 1, State: state})
-		}
-		h.end(Failed)
-		h.pass()
-		h.router.OnDiscoveryAvailable(h.now, h.now)
-		h.loseDiscovery()
-		if got := h.router.isProcessIdentified(h.router.workersByID[h.home]); got != c.want {
-			t.Errorf("%s: identified %v, want %v", name, got, c.want)
+		attemptOn, loadOn := "", ""
+		for id, name := range h.names() {
+			if slices.Equal(h.attempts, []string{"a@" + string(id)}) {
+				attemptOn = name
+			}
+			if slices.Equal(h.loads, []string{string(id) + "/f"}) {
+				loadOn = name
+			}
+		}
+		if attemptOn != c.attemptOn || loadOn != c.loadOn {
+			t.Errorf("%s: attempts %v on %s, loads %v on %s", name, h.attempts, attemptOn, h.loads, loadOn)
 		}
 	}
 }
