--- a/review/standin/explore.go
+++ b/review/standin/explore.go
@@ -32,10 +32,8 @@
 	if !mayOrder {
 		onMiss = true
 	}
-	s.classes = []any{
-		class("free", "free", "all", s.deadline, 0), class("all", "guarded", "all", s.deadline, memory), class("zone", "guarded", "zone", s.deadline, memory),
-		class("cell", "guarded", "cell", s.deadline, memory), class("once", "single_shot", "all", s.deadline, 0),
-	}
+	s.classes = []any{class("free", "free", "all", s.deadline, 0), class("all", "guarded", "all", s.deadline, memory), class("zone", "guarded", "zone", s.deadline, memory),
+		class("cell", "guarded", "cell", s.deadline, memory), class("once", "single_shot", "all", s.deadline, 0)}
 	names := []string{"free", "all", "zone", "cell", "once"}
 	s.change = func(m map[string]any) {
 		dom := m["Domain"].(map[string]any)
--- a/review/standin/fuzz.go
+++ b/review/standin/fuzz.go
@@ -76,10 +76,8 @@
 				}()
 				for i := range 1 + rand.IntN(30) {
 					r := newRequest("free", fns[rand.IntN(len(fns))], time.Second)
-					fields := []string{
-						"kind", r.class, "req", r.id, "timeout", []string{"1000", "-1", "1e9", "0x10", "", "0.0001"}[rand.IntN(6)], "owner", "acme", "subject", r.function, "ms", []string{"20", "-5", "1e300"}[rand.IntN(3)],
-						"more", []string{"memory_mb:256;lanes:8;load_ms:300", "lanes:0", ";;;", "memory_mb:1e-300;lanes:256;load_ms:1e-9"}[rand.IntN(4)],
-					}
+					fields := []string{"kind", r.class, "req", r.id, "timeout", []string{"1000", "-1", "1e9", "0x10", "", "0.0001"}[rand.IntN(6)], "owner", "acme", "subject", r.function, "ms", []string{"20", "-5", "1e300"}[rand.IntN(3)],
+						"more", []string{"memory_mb:256;lanes:8;load_ms:300", "lanes:0", ";;;", "memory_mb:1e-300;lanes:256;load_ms:1e-9"}[rand.IntN(4)]}
 					payload := binary.BigEndian.AppendUint32([]byte{byte(1 + rand.IntN(20)/18)}, uint32(i+1))
 					payload = append(payload, byte(len(fields)/2))
 					for i := 0; i < len(fields); i += 2 {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -92,10 +92,8 @@
 	}
 	settings := map[string]any{
 		"Balancers": len(fs), "Me": i, "RoundMs": 4, "Discovery": "automatic",
-		"Caps": map[string]any{
-			"Cancel": true, "Peers": s.peers, "RetryAfter": true, "MaxRetryAfterMs": 500, "MostTries": 4, "MaxStreams": 32, "MaxOpen": 20000,
-			"DialTimeoutMs": 250, "IdleCloseMs": 30000,
-		},
+		"Caps": map[string]any{"Cancel": true, "Peers": s.peers, "RetryAfter": true, "MaxRetryAfterMs": 500, "MostTries": 4, "MaxStreams": 32, "MaxOpen": 20000,
+			"DialTimeoutMs": 250, "IdleCloseMs": 30000},
 		"Classes":  classes,
 		"Accounts": []any{map[string]any{"Name": "acme", "QuotaPerS": 1000}},
 		"Domain":   map[string]any{"MayOrder": true, "OrderTimeoutMs": 10000, "StaysLoadedMs": 8800, "WhenAbsent": "miss", "LoadWindowMs": 0},
--- a/review/standin/peers.go
+++ b/review/standin/peers.go
@@ -380,10 +380,8 @@
 
 // send sends a request.
 func (cl *client) send(r *request) error {
-	fields := []string{
-		"kind", r.class, "req", r.id, "timeout", fmt.Sprint(r.timeout.Milliseconds()), "owner", "acme", "subject", r.function, "ms", "20",
-		"more", "memory_mb:256;lanes:8;load_ms:300",
-	}
+	fields := []string{"kind", r.class, "req", r.id, "timeout", fmt.Sprint(r.timeout.Milliseconds()), "owner", "acme", "subject", r.function, "ms", "20",
+		"more", "memory_mb:256;lanes:8;load_ms:300"}
 	if r.key != "" {
 		fields = append(fields, "opkey", r.key)
 	}
