--- a/review/rig2/journal.go
+++ b/review/rig2/journal.go
@@ -22,6 +22,8 @@
 	addresses []string
 	conns     []map[net.Conn]bool
 	changed   chan struct{} // closed at each event
+	// delay, unless nil, returns how long the way to the front ends takes now.
+	delay func() time.Duration
 }
 
 // host is a worker in an event. Its address depends on the front end.
@@ -132,6 +134,9 @@
 	if _, scanErr := fmt.Sscanf(strings.TrimSpace(request), "tail %d", &position); err != nil || scanErr != nil {
 		return
 	}
+	way := make(chan delayedLine, 1000)
+	defer close(way)
+	go carry(conn, way)
 	for {
 		j.mu.Lock()
 		changed := j.changed
@@ -142,7 +147,13 @@
 		j.mu.Unlock()
 		for _, line := range append(lines, position) {
 			data, _ := json.Marshal(line)
-			if _, err := conn.Write(append(data, '\n')); err != nil {
+			next := delayedLine{data: append(data, '\n')}
+			if j.delay != nil {
+				next.at = time.Now().Add(j.delay())
+			}
+			select {
+			case way <- next:
+			default: // the front end has closed the connection
 				return
 			}
 		}
@@ -152,3 +163,20 @@
 		}
 	}
 }
+
+// delayedLine is a line on its way to a front end.
+type delayedLine struct {
+	data []byte
+	at   time.Time // of its arrival
+}
+
+// carry writes lines in order, each when it arrives.
+func carry(conn net.Conn, way <-chan delayedLine) {
+	for line := range way {
+		time.Sleep(time.Until(line.at))
+		if _, err := conn.Write(line.data); err != nil {
+			_ = conn.Close()
+			return
+		}
+	}
+}
