Review case 6: an answer cut off by a reset is handed on as a whole one

Cause: over HTTP, an answer without a length counts as complete at any end of the connection, also at a reset. Change: the case with its claim and script.

--- /dev/null
+++ b/review/rig2/case_truncated.go
@@ -0,0 +1,122 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"streamcleat/internal/verification/ports"
+)
+
+func init() { cases["reset-answer"] = resetAnswer }
+
+// answerText is what the worker has to say.
+var answerText = strings.Repeat("price 100;", 400)
+
+// closingWorker answers as HTTP/1.1 allows without a length: the answer ends with the connection. With broken set, its process
+// dies in the middle of an answer, and the connection is reset.
+func closingWorker(r *rig, listener net.Listener, broken func() bool) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if strings.HasSuffix(request.URL.Path, "/load") {
+				body := `{"parameters":{"copies":1}}`
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body)
+				return
+			}
+			id := request.Header.Get("ce-id")
+			r.log("worker", "event %s", id)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s", answerText[:len(answerText)/2])
+			time.Sleep(100 * time.Millisecond)
+			if broken() {
+				r.log("worker", "dies in the middle of the answer to %s", id)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			_, _ = io.WriteString(conn, answerText[len(answerText)/2:])
+			r.log("worker", "whole answer to %s", id)
+		}()
+	}
+}
+
+// resetAnswer: a worker's process dies in the middle of its answer, which resets the connection. What was read of the answer
+// must not be handed on as a whole one.
+func resetAnswer(r *rig) error {
+	address, err := ports.Reserve()
+	if err != nil {
+		return err
+	}
+	listener, err := ports.Listen("")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = listener.Close() }()
+	go closingWorker(r, listener, func() bool { return r.trouble })
+	b := &box{rig: r, config: filepath.Join(r.folder, "box.json"), socket: filepath.Join(r.folder, "box.sock")}
+	config, _ := json.Marshal(map[string]any{
+		"name": "box-1", "listen": []string{address}, "workers": map[string]any{"file": "workers.json", "keep_warm_s": 8},
+		"event_types": []any{
+			map[string]any{"name": "shop-event", "target_time_s": 1.5, "max_age_s": 4},
+			map[string]any{"name": "price-reset", "target_time_s": 1.5, "max_age_s": 4, "repeat": "at-most-once"},
+		},
+		"functions": []any{map[string]any{"match": "shop-*", "lanes": 2, "memory_mb": 400, "load_s": 0.7}},
+		"state":     map[string]any{"dir": "state"}, "console": map[string]any{"socket": "box.sock"},
+		"log": map[string]any{"level": "info", "form": "text"},
+	})
+	list, _ := json.Marshal([]any{map[string]any{"targets": []string{listener.Addr().String()}, "labels": map[string]string{"instance": "wk-0"}}})
+	for name, data := range map[string][]byte{"box.json": config, "workers.json": list} {
+		if err := os.WriteFile(filepath.Join(r.folder, name), data, 0o600); err != nil {
+			return err
+		}
+	}
+	if err := b.start(); err != nil {
+		return err
+	}
+	defer b.kill()
+	for n := range 11 {
+		n %= 10 // the last one repeats the first
+		class := []string{"shop-event", "price-reset"}[n%2]
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/events", bytes.NewReader([]byte(`{"count":1}`)))
+		if err != nil {
+			return err
+		}
+		for name, value := range map[string]string{
+			"ce-specversion": "1.0", "ce-source": "/till/7", "ce-id": fmt.Sprint(n), "ce-type": class, "ce-function": "shop-001",
+			"Content-Type": "application/json",
+		} {
+			request.Header.Set(name, value)
+		}
+		response, err := (&http.Client{Timeout: 5 * time.Second}).Do(request)
+		if err != nil {
+			r.log("client", "event %d: %v", n, err)
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		r.log("client", "event %d (%s): status %d, %d of %d bytes, replayed=%q, %v", n, class, response.StatusCode, len(body), len(answerText),
+			response.Header.Get("Idempotent-Replayed"), err)
+		if err == nil && response.StatusCode == http.StatusOK && string(body) != answerText {
+			r.violate("lost: event %d (%s) was answered 'handled' with %d of the %d bytes of the worker's answer", n, class, len(body), len(answerText))
+		}
+	}
+	return nil
+}
