--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -10,6 +10,7 @@
 	"hash/crc32"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -265,7 +266,7 @@
 
 func (c *connection) order(id uint64, function string, copies int) {
 	p := c.process
-	if p.worker.draining() {
+	if p.worker.draining() && (copies > 0 || os.Getenv("ANSWERS") == "") { // ANSWERS=1: an order that only asks is answered
 		c.write(67, id, "slots_up=0", "")
 		return
 	}
