--- a/review/rig2/case_truncated.go
+++ b/review/rig2/case_truncated.go
@@ -45,7 +45,14 @@
 			}
 			id := request.Header.Get("ce-id")
 			r.log("worker", "event %s", id)
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s", answerText[:len(answerText)/2])
+			form, half := "", answerText[:len(answerText)/2]
+			switch os.Getenv("FORM") { // FORM=length and FORM=chunks: answers that tell where they end
+			case "length":
+				form = fmt.Sprintf("Content-Length: %d\r\n", len(answerText))
+			case "chunks":
+				form, half = "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", len(answerText), half)
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n%s\r\n%s", form, half)
 			time.Sleep(100 * time.Millisecond)
 			if broken() {
 				r.log("worker", "dies in the middle of the answer to %s", id)
@@ -53,6 +60,9 @@
 				return
 			}
 			_, _ = io.WriteString(conn, answerText[len(answerText)/2:])
+			if os.Getenv("FORM") == "chunks" {
+				_, _ = io.WriteString(conn, "\r\n0\r\n\r\n")
+			}
 			r.log("worker", "whole answer to %s", id)
 		}()
 	}
