--- a/review/rig2/case_cold.go
+++ b/review/rig2/case_cold.go
@@ -18,28 +18,25 @@
 		fallMultiple = 2.5
 		fallTime     = 1500 * time.Millisecond
 	)
-	m := machine{cores: 3, work: 230 * time.Millisecond, load: time.Second, coldFrom: coldFrom, warmWithin: warmWithin, loadOnMiss: true}
+	// The kinds small-3core (work of 180 ms at a speed of 0.64) and std-4core (180 ms at 1.1).
+	m := machine{
+		kind: "small-3core", cores: 3, work: 281 * time.Millisecond, load: 1400 * time.Millisecond, coldFrom: coldFrom,
+		warmWithin: warmWithin, loadOnMiss: true,
+	}
+	std := m
+	std.kind, std.cores, std.work = "std-4core", 4, 164*time.Millisecond
 	if err := r.addFrontEnds(1); err != nil {
 		return err
 	}
-	var all []*worker
-	for _, name := range []string{"s-00c41f7a", "s-5b7e21d0", "s-81f03c9e", "s-c2d94a16"} {
-		w, err := r.newWorker(name, m, 1)
-		if err != nil {
-			return err
-		}
-		all = append(all, w)
-	}
-	drains, cold := all[0], all[1]
 	j, err := newJournal(r, 1)
 	if err != nil {
 		return err
 	}
-	var list []host
-	for _, w := range all {
-		list = append(list, host{w, "active", 0})
+	all, err := r.startWorkers(j, 12, func(n int) machine { return []machine{std, m}[n%2] })
+	if err != nil {
+		return err
 	}
-	j.add(true, list...)
+	drains, cold := all[0], all[1]
 	settings := terms{
 		"Balancers": 3, "Me": 0, "RoundMs": 4, "Discovery": "automatic", "DomainType": "warm",
 		"Caps": map[string]any{
@@ -61,12 +58,13 @@
 	if err := r.startFrontEnds(j, func(int) terms { return settings }); err != nil {
 		return err
 	}
-	quiet, surge := functionFor(0, all, drains, all[2]), functionFor(0, all, cold, all[3])
-	c := &client{rig: r, frontEnd: r.frontEnd[0], class: "clip-score", tenant: "", timeout: 3 * time.Second, profile: "memory_mb:400;lanes:2"}
+	before, after := functionFor(0, all, drains, all[2], all[4]), functionFor(0, all, cold)
+	c := &client{rig: r, frontEnd: r.frontEnd[0], class: "clip-score", tenant: "", timeout: 3 * time.Second, profile: "memory_mb:400;lanes:4"}
 
+	const usual = 10.0 // requests a second
 	t0 := r.now()
 	at := func(seconds float64) time.Duration { return t0 + time.Duration(seconds*float64(time.Second)) }
-	go c.flow(at(0), at(10), 6, func(int) string { return quiet })
+	go c.flow(at(0), at(9.5), usual, func(int) string { return before })
 	r.sleepUntil(at(3))
 	if r.trouble {
 		j.down(0)
@@ -76,13 +74,21 @@
 	r.sleepUntil(at(7.5))
 	j.add(false, host{drains, "leaving", 0})
 	drains.drain()
-	r.sleepUntil(at(17)) // 13 s after its end
+	r.sleepUntil(at(12.5)) // it has drained for 5 s
+	drains.leave(j)
+	r.sleepUntil(at(18)) // 14 s after its end, 15 s into the outage
 	if err := cold.boot(true); err != nil {
 		return err
 	}
 	j.add(false, host{cold, "active", cold.current().startedAt.UnixMilli()})
-	r.sleepUntil(at(18))
-	c.flow(at(18), at(22), 40, func(int) string { return surge })
+	go c.flow(at(19), at(22.5), 2.4*usual, func(int) string { return after })
+	r.sleepUntil(at(23.5))
+	if r.trouble {
+		if err := j.up(0); err != nil {
+			return err
+		}
+	}
+	r.sleepUntil(at(25))
 	c.wait.Wait()
 
 	cold.mu.Lock()
@@ -102,7 +108,7 @@
 			}
 		}
 		fraction := cold.process.fraction(r.start.Add(pushed[last].at)) // the most of the window
-		allowed := fallMultiple * fraction * m.capacity() * fallTime.Seconds()
+		allowed := fallMultiple * fraction * m.capacity() * (fallTime + 50*time.Millisecond).Seconds() // the slack on sockets
 		slack := 2*math.Sqrt(allowed) + 2
 		if allowed < 30 {
 			slack = 3*math.Sqrt(allowed) + 3
--- a/review/rig2/case_hexid.go
+++ b/review/rig2/case_hexid.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,23 +18,14 @@
 	if err := r.addFrontEnds(1); err != nil {
 		return err
 	}
-	var all []*worker
-	for _, name := range []string{"s-00c41f7a", "s-5b7e21d0", "s-81f03c9e"} {
-		w, err := r.newWorker(name, outletMachine(), 1)
-		if err != nil {
-			return err
-		}
-		all = append(all, w)
-	}
 	j, err := newJournal(r, 1)
 	if err != nil {
 		return err
 	}
-	var list []host
-	for _, w := range all {
-		list = append(list, host{w, "active", 0})
+	all, err := r.outletWorkers(j)
+	if err != nil {
+		return err
 	}
-	j.add(true, list...)
 	if err := r.startFrontEnds(j, func(number int) terms { return outlet(number, 1) }); err != nil {
 		return err
 	}
@@ -43,7 +35,9 @@
 	for n := range 20 {
 		r.sleepUntil(t0 + time.Duration(n)*300*time.Millisecond)
 		id := fmt.Sprintf("9b1f03aa5c7e%04x", 0xd000+n)
+		var ended atomic.Bool
 		usual.send(id, function, "body-"+id, func(end answer) {
+			ended.Store(true)
 			if end.code != 0 || end.body != "ran:body-"+id {
 				r.log("case", "the usual client of %s got code %d %q", id, end.code, end.body)
 			}
@@ -54,6 +48,9 @@
 			if os.Getenv("SAME") != "" { // SAME=1: the id as the usual client wrote it
 				other = id
 			}
+			if ended.Load() {
+				continue // the id is not that of an open request
+			}
 			bad.send(other, function, "other-"+id, func(end answer) {
 				if end.code == 0 {
 					r.violate("lost: a bad client that sent the id of the open request %s with a different body was answered 'served' with %q", id, end.body)
--- a/review/rig2/case_slow.go
+++ b/review/rig2/case_slow.go
@@ -17,24 +17,15 @@
 	if err := r.addFrontEnds(1); err != nil {
 		return err
 	}
-	var all []*worker
-	for _, name := range []string{"s-00c41f7a", "s-5b7e21d0", "s-81f03c9e", "s-c2d94a16"} {
-		w, err := r.newWorker(name, outletMachine(), 1)
-		if err != nil {
-			return err
-		}
-		all = append(all, w)
-	}
-	drains := all[0]
 	j, err := newJournal(r, 1)
 	if err != nil {
 		return err
 	}
-	var list []host
-	for _, w := range all {
-		list = append(list, host{w, "active", 0})
+	all, err := r.outletWorkers(j)
+	if err != nil {
+		return err
 	}
-	j.add(true, list...)
+	drains := all[0]
 	slowFrom := r.now() + 4*time.Second
 	if r.trouble {
 		j.delay = func() time.Duration { // grows by 0.3 s in a second
@@ -50,13 +41,15 @@
 	r.sleepUntil(slowFrom + 23*time.Second)
 	j.add(false, host{drains, "leaving", 0})
 	drains.drain()
+	r.sleepUntil(slowFrom + 29*time.Second) // it has drained for 6 s
+	drains.leave(j)
 	r.sleepUntil(slowFrom + 33*time.Second)
 	c.wait.Wait()
 
 	drains.mu.Lock()
 	defer drains.mu.Unlock()
 	for _, got := range append(drains.requests, drains.orders...) {
-		if late := got.at - drains.drainAt; late > told+grace {
+		if late := got.at - drains.drainAt; late > told+grace+20*time.Millisecond { // a send counts from its first byte, got.at from its last
 			r.violate("drain: %s got a request or an order for %s %.3f s after the journal service held that it drains", drains.name,
 				got.function, late.Seconds())
 		}
--- a/review/rig2/case_truncated.go
+++ b/review/rig2/case_truncated.go
@@ -23,9 +23,9 @@
 // answerText is what the worker has to say.
 var answerText = strings.Repeat("price 100;", 400)
 
-// closingWorker answers as HTTP/1.1 allows without a length: the answer ends with the connection. With broken set, its process
-// dies in the middle of an answer, and the connection is reset.
-func closingWorker(r *rig, listener net.Listener, broken func() bool) {
+// closingWorker answers as HTTP/1.1 allows without a length: the answer ends with the connection. Answers for which broken
+// reports true break off in the middle, and the connection is reset.
+func closingWorker(r *rig, listener net.Listener, broken func(id string) bool) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -54,8 +54,8 @@
 			}
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n%s\r\n%s", form, half)
 			time.Sleep(100 * time.Millisecond)
-			if broken() {
-				r.log("worker", "dies in the middle of the answer to %s", id)
+			if broken(id) {
+				r.log("worker", "breaks off in the middle of the answer to %s", id)
 				_ = conn.(*net.TCPConn).SetLinger(0)
 				return
 			}
@@ -68,7 +68,7 @@
 	}
 }
 
-// resetAnswer: a worker's process dies in the middle of its answer, which resets the connection. What was read of the answer
+// resetAnswer: three of ten answers of a worker break off in the middle, and the connection is reset. What was read of the answer
 // must not be handed on as a whole one.
 func resetAnswer(r *rig) error {
 	address, err := ports.Reserve()
@@ -80,7 +80,7 @@
 		return err
 	}
 	defer func() { _ = listener.Close() }()
-	go closingWorker(r, listener, func() bool { return r.trouble })
+	go closingWorker(r, listener, func(id string) bool { return r.trouble && strings.Contains("2 5 8", id) })
 	b := &box{rig: r, config: filepath.Join(r.folder, "box.json"), socket: filepath.Join(r.folder, "box.sock")}
 	config, _ := json.Marshal(map[string]any{
 		"name": "box-1", "listen": []string{address}, "workers": map[string]any{"file": "workers.json", "keep_warm_s": 8},
@@ -102,8 +102,7 @@
 		return err
 	}
 	defer b.kill()
-	for n := range 11 {
-		n %= 10 // the last one repeats the first
+	for _, n := range []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 2} { // the last one is a repeat
 		class := []string{"shop-event", "price-reset"}[n%2]
 		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/events", bytes.NewReader([]byte(`{"count":1}`)))
 		if err != nil {
--- a/review/rig2/journal.go
+++ b/review/rig2/journal.go
@@ -74,7 +74,7 @@
 	list := []map[string]any{}
 	for _, h := range hosts {
 		list = append(list, map[string]any{
-			"host": h.worker.name, "dial": h.worker.address(number), "site": "room", "class": "std", "block": 1, "health": h.health,
+			"host": h.worker.name, "dial": h.worker.address(number), "site": "room", "class": h.worker.machine.kind, "block": 1, "health": h.health,
 			"share": 1, "born_ms": h.bornMs,
 		})
 	}
--- a/review/rig2/outlet.go
+++ b/review/rig2/outlet.go
@@ -34,5 +34,10 @@
 
 // outletMachine is a worker of tomakomai-outlet.
 func outletMachine() machine {
-	return machine{cores: 5, work: 180 * time.Millisecond, load: 700 * time.Millisecond, coldFrom: 0.29, warmWithin: 16 * time.Second}
+	return machine{kind: "std-5c", cores: 5, work: 180 * time.Millisecond, load: 700 * time.Millisecond, coldFrom: 0.29, warmWithin: 16 * time.Second}
+}
+
+// outletWorkers starts as many workers as the deployment has at least, and lists them.
+func (r *rig) outletWorkers(j *journal) ([]*worker, error) {
+	return r.startWorkers(j, 12, func(int) machine { return outletMachine() })
 }
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -21,6 +21,7 @@
 
 // machine says what workers can do.
 type machine struct {
+	kind       string
 	cores      int
 	work       time.Duration // of a request on a warm core
 	load       time.Duration // of a copy
@@ -87,6 +88,27 @@
 	return w, w.boot(false)
 }
 
+// startWorkers starts a number of workers and lists them in the first event of the journal.
+func (r *rig) startWorkers(j *journal, count int, kind func(n int) machine) ([]*worker, error) {
+	var all []*worker
+	var list []host
+	for n := range count {
+		w, err := r.newWorker(fmt.Sprintf("s-%08x", 0x00c41f7a+n*0x11a3b5c7), kind(n), len(r.frontEnd))
+		if err != nil {
+			return nil, err
+		}
+		all, list = append(all, w), append(list, host{w, "active", 0})
+	}
+	j.add(true, list...)
+	return all, nil
+}
+
+// leave ends a worker that drained.
+func (w *worker) leave(j *journal) {
+	j.add(false, host{w, "left", 0})
+	w.die()
+}
+
 func (w *worker) address(frontEnd int) string { return w.addresses[frontEnd] }
 
 // boot starts a process of the worker at its addresses.
