--- a/review/rig2/case_cold.go
+++ b/review/rig2/case_cold.go
@@ -107,7 +107,7 @@
 				count++
 			}
 		}
-		fraction := cold.process.fraction(r.start.Add(pushed[last].at)) // the most of the window
+		fraction := cold.process.fraction(r.start.Add(pushed[last].at))                                // the most of the window
 		allowed := fallMultiple * fraction * m.capacity() * (fallTime + 50*time.Millisecond).Seconds() // the slack on sockets
 		slack := 2*math.Sqrt(allowed) + 2
 		if allowed < 30 {
