Parse request IDs at the codec, so that no second spelling of an open one is served

Callers saw: a client that sent the ID of an open request with another body, its hexadecimal digits in the other case, was answered "served". Two attempts with the same 8 bytes and two bodies were out at workers at once. Cause: request.go of downstream/frames kept the client's text as the request's identity, and the dispatcher compares identities as text (openByIdentity). SendAttempt of upstream/frames parses that text, so both spellings became one number on the wire. Accepting capitals is right, as PROTOCOL asks for 16 hex digits: the fault is that the text was the identity. Change: package hexid parses an ID once. The session passes on its canonical text, the pool parses the same type. No other spelling is left behind the codec, so equal numbers are equal identities in the dispatcher, logs and traces. A client that always writes capitals is served as before.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -5,7 +5,9 @@
 // WaiterID identifies one client request that waits for a response. The caller chooses it and never reuses it.
 type WaiterID uint64
 
-// Identity identifies a request across retries: CloudEvents source and id (CloudEvents 1.0, 3.1.1).
+// Identity identifies a request across retries: CloudEvents source and id (CloudEvents 1.0, 3.1.1), or the platform's request
+// ID with an empty source. Two requests are the same if and only if their identities are equal, so a session whose protocol
+// has several spellings of an ID passes on the canonical one.
 type Identity struct{ Source, ID string }
 
 // String returns the identity as source#id.
--- a/internal/downstream/frames/request.go
+++ b/internal/downstream/frames/request.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"streamcleat/internal/dispatch"
+	"streamcleat/internal/platform/hexid"
 	"streamcleat/internal/units"
 )
 
@@ -101,12 +102,14 @@
 	return err
 }
 
-// validate checks a request against the classes, tenants and limits of the deployment.
+// validate checks a request against the classes, tenants and limits of the deployment, and replaces its ID by the canonical
+// text.
 func (l *Limits) validate(request *dispatch.Request) error {
+	if err := canonicalize(fieldID, &request.ID); err != nil {
+		return err
+	}
 	maxTimeout := l.ClassTimeout(request.Class)
 	switch {
-	case !isHex16(request.ID):
-		return fieldErrorf(fieldID, "%.40q is not 16 hex digits", request.ID)
 	case maxTimeout <= 0:
 		return fieldErrorf(fieldClass, "the deployment names no %.40q", request.Class)
 	case !l.HasTenant(request.Tenant):
@@ -121,6 +124,17 @@
 	return nil
 }
 
+// canonicalize replaces an ID by its canonical text, so that the texts of two requests are equal if and only if workers receive
+// the same number for both.
+func canonicalize(field string, text *string) error {
+	id, err := hexid.Parse(*text)
+	if err != nil {
+		return &fieldError{field: field, problem: err.Error()}
+	}
+	*text = id.String()
+	return nil
+}
+
 // parseProfile parses the profile of a request's function. Unknown names are ignored.
 func (l *Limits) parseProfile(text string) (dispatch.FunctionProfile, error) {
 	var profile dispatch.FunctionProfile
--- a/internal/upstream/frames/send.go
+++ b/internal/upstream/frames/send.go
@@ -7,6 +7,7 @@
 
 	"streamcleat/control"
 	"streamcleat/internal/dispatch"
+	"streamcleat/internal/platform/hexid"
 	"streamcleat/internal/units"
 	"streamcleat/internal/upstream"
 )
@@ -24,7 +25,8 @@
 
 // SendAttempt sends an attempt. Its wire ID is the request ID.
 func (p *Pool) SendAttempt(now units.Seconds, a dispatch.Attempt) {
-	id, err := strconv.ParseUint(a.Identity.ID, 16, 64)
+	requestID, err := hexid.Parse(a.Identity.ID)
+	id := uint64(requestID)
 	e := &exchange{Exchange: upstream.Exchange{ID: a.ID, Worker: a.Worker}, wireID: id}
 	if err != nil {
 		p.Exchanges.Add(e)
--- a/internal/verification/nodetest/client.go
+++ b/internal/verification/nodetest/client.go
@@ -48,12 +48,16 @@
 	_, _ = c.Conn.Write(data) // if the connection is closed, the next Receive reports it
 }
 
-// Request encodes the next request.
+// Request encodes the next request, with an ID that no other request has.
 func (c *Client) Request(function, body string) []byte {
+	return c.RequestWithID(fmt.Sprintf("%016x", requestCount.Add(1)), function, body)
+}
+
+// RequestWithID encodes the next request with a given ID.
+func (c *Client) RequestWithID(id, function, body string) []byte {
 	c.stream++
 	fields := []string{
-		"kind", "call", "req", fmt.Sprintf("%016x", requestCount.Add(1)), "timeout", "1500", "owner", "acme", "subject",
-		function, "more", "lanes:8;load_ms:50",
+		"kind", "call", "req", id, "timeout", "1500", "owner", "acme", "subject", function, "more", "lanes:8;load_ms:50",
 	}
 	payload := []byte{1, 0, 0, 0, byte(c.stream), byte(len(fields) / 2)}
 	for i := 0; i < len(fields); i += 2 {
