Parse function IDs at the codec too, so that one function in two spellings uses one replica

Callers saw: nothing wrong in an answer. A request for a loaded function, its digits in the other case, waited for a load command, and the worker was told to hold a second replica. The function stayed the client's text, by which the router knows replicas, slow starts and quotas, while an unload command names it by 8 bytes: the idle replicas of one spelling could be unloaded by the other's command (read, not played). Change: the session passes on the canonical text, and the pool parses the number of an unload command by the same type. PROTOCOL names id, class, key and body as what passes on unchanged; the function is "16 hex digits", and is written in small letters there. The checks of a request's names and of its times are functions of their own now, in the order of before. Result: TestRequest_OtherSpellingOfAFunctionUsesItsReplica failed before (2 load commands, both commands under the capitals) and passes.

--- a/internal/downstream/frames/request.go
+++ b/internal/downstream/frames/request.go
@@ -102,20 +102,28 @@
 	return err
 }
 
-// validate checks a request against the classes, tenants and limits of the deployment, and replaces its ID by the canonical
-// text.
+// validate checks a request against the classes, tenants and limits of the deployment, and replaces its IDs by their canonical
+// texts.
 func (l *Limits) validate(request *dispatch.Request) error {
 	if err := canonicalize(fieldID, &request.ID); err != nil {
 		return err
 	}
-	maxTimeout := l.ClassTimeout(request.Class)
-	switch {
-	case maxTimeout <= 0:
+	if l.ClassTimeout(request.Class) <= 0 {
 		return fieldErrorf(fieldClass, "the deployment names no %.40q", request.Class)
-	case !l.HasTenant(request.Tenant):
+	}
+	if !l.HasTenant(request.Tenant) {
 		return fieldErrorf(fieldTenant, "the deployment names no %.40q", request.Tenant)
-	case !isHex16(request.Function):
-		return fieldErrorf(fieldFunction, "%.40q is not 16 hex digits", request.Function)
+	}
+	if err := canonicalize(fieldFunction, &request.Function); err != nil {
+		return err
+	}
+	return l.validateTimes(request)
+}
+
+// validateTimes checks the times in a request of a class that the deployment names.
+func (l *Limits) validateTimes(request *dispatch.Request) error {
+	maxTimeout := l.ClassTimeout(request.Class)
+	switch {
 	case request.Timeout <= 0 || request.Timeout > maxTimeout*timeoutTolerance:
 		return fieldErrorf(fieldTimeout, "%v s is not above 0 and up to %v", request.Timeout, maxTimeout)
 	case request.ExpectedWork < 0 || request.ExpectedWork > l.MaxExpectedWork:
@@ -124,8 +132,8 @@
 	return nil
 }
 
-// canonicalize replaces an ID by its canonical text, so that the texts of two requests are equal if and only if workers receive
-// the same number for both.
+// canonicalize replaces the ID of a request or function by its canonical text, so that two texts are equal if and only if
+// workers receive the same number for both.
 func canonicalize(field string, text *string) error {
 	id, err := hexid.Parse(*text)
 	if err != nil {
@@ -199,13 +207,3 @@
 		return c <= ' ' || c > '~' || c == ',' || c == '='
 	})
 }
-
-// isHex16 reports whether text is 16 hexadecimal digits.
-func isHex16(text string) bool {
-	for i := range len(text) {
-		if c := text[i] | 0x20; (text[i] < '0' || text[i] > '9') && (c < 'a' || c > 'f') {
-			return false
-		}
-	}
-	return len(text) == 16
-}
--- a/internal/node/request_id_test.go
+++ b/internal/node/request_id_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +51,33 @@
 		t.Errorf("response %s", got)
 	}
 }
+
+// Guards against a function that counts as two: its hexadecimal digits in the other case were taken for another function, so a
+// second replica was loaded beside the idle one.
+func TestRequest_OtherSpellingOfAFunctionUsesItsReplica(t *testing.T) {
+	t.Parallel()
+	worker := nodetest.NewWorker(t)
+	frames := make(chan nodetest.Frame, 64)
+	worker.HandleConnections(func(conn net.Conn) {
+		worker.ObserveFrames(conn, func(frame nodetest.Frame) { frames <- frame })
+	})
+	f := newFixtureWith(t, worker, 256, func(text string) string { return text })
+	client := f.dialWarm()
+	client.SendBytes(client.Request(strings.ToUpper(nodetest.WarmFunction), "body"))
+	if got := client.Receive(); got != `2/2 "\x00\x00body"` {
+		t.Errorf("response %s", got)
+	}
+	loads := 0
+	for len(frames) > 0 {
+		frame := <-frames
+		if path := frame.Field("path"); path != "" && path != nodetest.WarmFunction {
+			t.Errorf("command %d for function %s, want %s", frame.Command(), path, nodetest.WarmFunction)
+		}
+		if replicas := frame.Field("slots_up"); frame.Command() == nodetest.CommandLoad && replicas != "0" {
+			loads++
+		}
+	}
+	if loads != 1 {
+		t.Errorf("%d load commands, want one for the first request", loads)
+	}
+}
--- a/internal/upstream/frames/send.go
+++ b/internal/upstream/frames/send.go
@@ -80,9 +80,9 @@
 
 func (p *Pool) sendUnload(now units.Seconds, command dispatch.LoadCommand) {
 	c := p.connectionFor(now, command.Worker, 0)
-	function, err := strconv.ParseUint(command.Function, 16, 64)
+	function, err := hexid.Parse(command.Function)
 	if err == nil && c != nil && c.Established {
-		p.transport.Write(c.ID, encodeFrame(commandUnload, function, "", nil))
+		p.transport.Write(c.ID, encodeFrame(commandUnload, uint64(function), "", nil))
 	}
 }
 
--- a/internal/verification/nodetest/frame.go
+++ b/internal/verification/nodetest/frame.go
@@ -82,18 +82,22 @@
 	return reply
 }
 
+// Field returns the value of a field, or "" if it is absent.
+func (f Frame) Field(name string) string {
+	for field := range strings.SplitSeq(string(f.Fields), ",") {
+		if key, value, _ := strings.Cut(field, "="); key == name {
+			return value
+		}
+	}
+	return ""
+}
+
 // Budget returns the time that an attempt allows its worker for execution.
 func (f Frame) Budget(t *testing.T) time.Duration {
 	t.Helper()
-	for field := range strings.SplitSeq(string(f.Fields), ",") {
-		if text, ok := strings.CutPrefix(field, "budget="); ok {
-			milliseconds, err := strconv.Atoi(text)
-			if err != nil {
-				t.Error(err)
-			}
-			return time.Duration(milliseconds) * time.Millisecond
-		}
+	milliseconds, err := strconv.Atoi(f.Field("budget"))
+	if err != nil {
+		t.Errorf("no budget in the fields %q: %v", f.Fields, err)
 	}
-	t.Errorf("no budget in the fields %q", f.Fields)
-	return 0
+	return time.Duration(milliseconds) * time.Millisecond
 }
--- a/internal/verification/nodetest/worker.go
+++ b/internal/verification/nodetest/worker.go
@@ -63,14 +63,21 @@
 
 // ObserveAttempts serves a connection until it ends and calls observe with each attempt before the reply is sent.
 func (w *Worker) ObserveAttempts(conn net.Conn, observe func(frame Frame)) {
+	w.ObserveFrames(conn, func(frame Frame) {
+		if frame.Command() == CommandAttempt {
+			observe(frame)
+		}
+	})
+}
+
+// ObserveFrames serves a connection until it ends and calls observe with each frame before the reply is sent.
+func (w *Worker) ObserveFrames(conn net.Conn, observe func(frame Frame)) {
 	for {
 		frame, err := ReadFrame(conn)
 		if err != nil {
 			return
 		}
-		if frame.Command() == CommandAttempt {
-			observe(frame)
-		}
+		observe(frame)
 		w.reply(conn, frame, nil)
 	}
 }
