Make room for a repeated request ID by closing an idle connection to the worker

Callers saw: a client that repeats an ID, each time after its response, took another connection to the worker each time. Once there were none left, for any worker, its attempts ended as unreachable, after which the router takes the replicas of that worker, which was healthy, for lost (read in control/router.go). Cause: a connection does not carry an ID again that it carried recently, so that a late reply is not taken for the new one's. The limit for each worker gave way whenever no connection could carry an exchange, and connections that were idle stayed. Change: if no connection to a worker can carry an exchange and a limit is reached, the idle one that was dialed last is closed, and with it any late reply on it; another is dialed in its place. The choice of a connection is a file of its own.

--- a/internal/upstream/frames/pool_test.go
+++ b/internal/upstream/frames/pool_test.go
@@ -119,9 +119,14 @@
 }
 
 func (fixture *poolFixture) sendAttempt(id uint64, worker string) {
-	fixture.pool.SendAttempt(0, dispatch.Attempt{
+	fixture.sendAttemptUnder(0, id, id, worker)
+}
+
+// sendAttemptUnder sends an attempt under a request ID at a time.
+func (fixture *poolFixture) sendAttemptUnder(now units.Seconds, id, requestID uint64, worker string) {
+	fixture.pool.SendAttempt(now, dispatch.Attempt{
 		ID: id, Worker: control.WorkerID(worker), Function: "7f3a9c21e0b4d655", Class: "call", Timeout: 1.5,
-		Identity: dispatch.Identity{ID: fmt.Sprintf("%016x", id)}, Body: []byte("in"),
+		Identity: dispatch.Identity{ID: fmt.Sprintf("%016x", requestID)}, Body: []byte("in"),
 	})
 }
 
@@ -506,3 +511,21 @@
 		}
 	}
 }
+
+// Guards against a client that repeats an ID, each time after the response: each attempt took another connection, until there
+// were none left for any worker and a healthy one was reported as unreachable.
+func TestSendAttempt_RepeatedIDTakesNoFurtherConnections(t *testing.T) {
+	fixture := newPoolFixture(t, 2, 32)
+	for id := uint64(101); id <= 120; id++ {
+		fixture.sendAttemptUnder(0, id, 5, "a")
+		fixture.pool.OnDialed(0, fixture.lastDialed(), nil)
+		fixture.pool.OnData(0, fixture.lastDialed(), encodeReply(replySucceeded, 5, "detail=hit", ""))
+		fixture.expectReports(fmt.Sprintf("%d:0/1", id))
+		if n := fixture.pool.Len(); n > 2 {
+			t.Fatalf("%d connections after attempt %d, want 2 at most", n, id)
+		}
+	}
+	if len(fixture.disconnected) > 0 {
+		t.Error("disconnections reported:", fixture.disconnected)
+	}
+}
--- a/internal/upstream/frames/send.go
+++ b/internal/upstream/frames/send.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"strings"
 
-	"streamcleat/control"
 	"streamcleat/internal/dispatch"
 	"streamcleat/internal/platform/hexid"
 	"streamcleat/internal/units"
@@ -110,36 +109,6 @@
 	}
 }
 
-// connectionFor returns the connection for another exchange: an idle one if there is one; otherwise a new one, within
-// the limits, so that a reset affects few exchanges; otherwise the one with the fewest exchanges. It returns nil if no
-// connection is available.
-func (p *Pool) connectionFor(now units.Seconds, worker control.WorkerID, wireID uint64) *connection {
-	if !p.endpoints[worker].serving {
-		return nil
-	}
-	var best *connection
-	count := 0
-	for _, c := range p.Connections.ForWorker(worker) {
-		if c.draining {
-			continue
-		}
-		count++
-		if !c.canCarry(wireID, p.limits.MaxStreams) || c.Established && p.transport.Unsent(c.ID) > 0 {
-			continue
-		}
-		if best == nil || len(c.open) < len(best.open) {
-			best = c
-		}
-	}
-	useBest := best != nil && (len(best.open) == 0 || count >= p.limits.MaxPerWorker)
-	if useBest || p.Connections.Len() >= p.limits.MaxTotal {
-		return best
-	}
-	c := &connection{open: map[uint64]*exchange{}}
-	p.Connections.Dial(now, c, worker, p.endpoints[worker].address)
-	return c
-}
-
 // WaitingFor returns the IDs of the attempts that wait for a connection's dial to complete.
 func (p *Pool) WaitingFor(id upstream.ConnID) []uint64 {
 	c := p.Connections.Get(id)
