Remember the IDs of ended attempts by time, so that a late reply is not taken for another's

Callers saw: a request under an ID that an earlier one had, ended or canceled a few seconds before, could be answered with the body of the earlier one. The attempt that had been sent for it was still out; another under the same ID could start beside it. Cause: a connection refused an ID while it was among the last 32 that ended there, however short a time that was. A worker's reply may come later: it crosses a cancellation, comes twice, or waits for a partition to end. On a busy connection 32 exchanges end in less time, after which the reply found the new exchange under its ID (onReply looks up the number alone). An attempt of which nothing was sent leaves none.

--- a/internal/upstream/frames/connection.go
+++ b/internal/upstream/frames/connection.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"streamcleat/internal/units"
 	"streamcleat/internal/upstream"
 )
 
@@ -20,15 +21,15 @@
 	open     map[uint64]*exchange // by wire ID, including waiting ones
 	waiting  []*exchange          // for the dial to complete, in order of arrival
 	framer   framer
-	recent   recentIDs
+	ended    endedIDs
 	draining bool // the worker is draining, was removed, changed its address or restarted: no new exchanges
 	verified bool // reaches the same process as the connections established before it
 }
 
-// canCarry reports whether an exchange with the given wire ID may be added. A recently used wire ID is refused, because a
-// late or duplicate reply to the earlier exchange would be taken for a reply to the new one.
-func (c *connection) canCarry(wireID uint64, maxStreams int) bool {
-	return len(c.open) < maxStreams && c.open[wireID] == nil && !c.recent.contains(wireID)
+// canCarry reports whether an exchange with the given wire ID may be added. A wire ID whose exchange ended a short time ago is
+// refused, because a late or duplicate reply to that exchange would be taken for a reply to the new one.
+func (c *connection) canCarry(now units.Seconds, wireID uint64, maxStreams int) bool {
+	return len(c.open) < maxStreams && c.open[wireID] == nil && !c.ended.contains(now, wireID)
 }
 
 // remove removes an exchange, sent or waiting, if it is open on the connection.
@@ -38,7 +39,6 @@
 	}
 	delete(c.open, e.wireID)
 	c.waiting = slices.DeleteFunc(c.waiting, func(other *exchange) bool { return other == e })
-	c.recent.add(e.wireID)
 }
 
 // takeWaiting returns the exchanges that wait for the dial to complete, and clears the list. They remain open.
@@ -58,21 +58,3 @@
 	clear(c.open)
 	return list
 }
-
-// maxRecentIDs is the number of wire IDs of ended exchanges that a connection remembers.
-const maxRecentIDs = 32
-
-// recentIDs holds the wire IDs of the most recently ended exchanges.
-type recentIDs struct {
-	ring  [maxRecentIDs]uint64
-	count int // total number of IDs added
-}
-
-func (r *recentIDs) add(id uint64) {
-	r.ring[r.count%maxRecentIDs] = id
-	r.count++
-}
-
-func (r *recentIDs) contains(id uint64) bool {
-	return slices.Contains(r.ring[:min(r.count, maxRecentIDs)], id)
-}
--- a/internal/upstream/frames/connection_choice.go
+++ b/internal/upstream/frames/connection_choice.go
@@ -14,7 +14,7 @@
 	if !p.endpoints[worker].serving {
 		return nil
 	}
-	best, count := p.leastLoaded(worker, wireID)
+	best, count := p.leastLoaded(now, worker, wireID)
 	atWorkerLimit := count >= p.limits.MaxPerWorker
 	if best != nil && (len(best.open) == 0 || atWorkerLimit) {
 		return best
@@ -35,13 +35,13 @@
 
 // leastLoaded returns the connection with the fewest exchanges among those of a worker that can carry another exchange, nil
 // if none can, and the number of the worker's connections.
-func (p *Pool) leastLoaded(worker control.WorkerID, wireID uint64) (best *connection, count int) {
+func (p *Pool) leastLoaded(now units.Seconds, worker control.WorkerID, wireID uint64) (best *connection, count int) {
 	for _, c := range p.Connections.ForWorker(worker) {
 		if c.draining {
 			continue
 		}
 		count++
-		if !c.canCarry(wireID, p.limits.MaxStreams) || p.hasUnsent(c) {
+		if !c.canCarry(now, wireID, p.limits.MaxStreams) || p.hasUnsent(c) {
 			continue
 		}
 		if best == nil || len(c.open) < len(best.open) {
--- a/internal/upstream/frames/pool_test.go
+++ b/internal/upstream/frames/pool_test.go
@@ -368,7 +368,7 @@
 func BenchmarkExchange(b *testing.B) {
 	pool := NewPool(Limits{DialTimeout: 0.25, IdleTimeout: 10, MaxTotal: 8, MaxPerWorker: 1, MaxStreams: 4}, discard{}, discard{})
 	pool.SetEndpoints(endpointList(map[string]string{"a": "x:1"}, control.Serving, 0))
-	const ids = 2 * maxRecentIDs
+	const ids = 64
 	var names [ids]string
 	var replies [ids][]byte
 	for i := range names {
@@ -378,14 +378,15 @@
 	body := []byte("x")
 	b.ReportAllocs()
 	for id := uint64(1); b.Loop(); id++ {
-		pool.SendAttempt(1, dispatch.Attempt{
+		now := units.Seconds(id/ids) * replyRetention // each ID is free again when it is used next
+		pool.SendAttempt(now, dispatch.Attempt{
 			ID: id, Worker: "a", Function: "7f3a9c21e0b4d655", Class: "call", Timeout: 2,
 			Identity: dispatch.Identity{ID: names[id%ids]}, Body: body,
 		})
 		if id == 1 {
-			pool.OnDialed(1, 1, nil)
+			pool.OnDialed(now, 1, nil)
 		}
-		pool.OnData(1, 1, replies[id%ids])
+		pool.OnData(now, 1, replies[id%ids])
 	}
 }
 
@@ -529,3 +530,56 @@
 		t.Error("disconnections reported:", fixture.disconnected)
 	}
 }
+
+// Guards against a response with the body of another request: a connection forgot the ID of an ended attempt after 32 others, so
+// that its late or second reply was taken for the reply to a new attempt under the same ID.
+func TestOnData_LateReplyIsNotThatOfALaterAttempt(t *testing.T) {
+	for name, end := range map[string]func(*poolFixture){
+		"second reply":            func(f *poolFixture) { f.pool.OnData(0, 1, encodeReply(replySucceeded, 5, "", "first")) },
+		"reply to a canceled one": func(f *poolFixture) { f.pool.Abandon(0, 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newPoolFixture(t, 1, 32)
+			fixture.sendAttemptUnder(0, 1, 5, "a")
+			fixture.pool.OnDialed(0, 1, nil)
+			fixture.sendAttemptUnder(0, 2, 6, "a") // keeps the connection busy
+			end(fixture)
+			for id := uint64(100); id < 1100; id++ {
+				fixture.sendAttempt(id, "a")
+				fixture.pool.OnData(0, 1, encodeReply(replyRejected, id, "", ""))
+			}
+			fixture.pool.Flush()
+			fixture.reported, fixture.bodies = nil, nil
+			fixture.sendAttemptUnder(2, 3, 5, "a")
+			fixture.pool.OnData(2, 1, encodeReply(replySucceeded, 5, "", "first"))
+			fixture.expectReports()
+			fixture.pool.OnDialed(2, 2, nil)
+			fixture.pool.OnData(2, 2, encodeReply(replySucceeded, 5, "", "second"))
+			fixture.expectReports("3:0/0")
+			if !slices.Equal(fixture.bodies, []string{"second"}) {
+				t.Errorf("bodies %q", fixture.bodies)
+			}
+		})
+	}
+}
+
+// A connection carries an ID again once no reply to its earlier exchange is expected, and then holds nothing of it.
+func TestEndedIDs_Retention(t *testing.T) {
+	var ended endedIDs
+	ended.add(0, 7)
+	ended.add(1, 8)
+	ended.add(2, 7)
+	for _, c := range []struct {
+		now  units.Seconds
+		id   uint64
+		want bool
+	}{{2, 9, false}, {replyRetention, 7, true}, {replyRetention, 8, true}, {replyRetention + 1, 8, false}, {replyRetention + 1.9, 7, true}, {replyRetention + 2, 7, false}} {
+		if ended.contains(c.now, c.id) != c.want {
+			t.Errorf("ID %d at %v: want %v", c.id, c.now, c.want)
+		}
+	}
+	ended.add(2*replyRetention+2, 9)
+	if len(ended.byAge) != 1 || len(ended.endedAt) != 1 {
+		t.Errorf("%d IDs by age and %d by ID are held, want 1", len(ended.byAge), len(ended.endedAt))
+	}
+}
--- a/internal/upstream/frames/receive.go
+++ b/internal/upstream/frames/receive.go
@@ -85,7 +85,7 @@
 		return
 	}
 	delete(c.open, r.id)
-	c.recent.add(r.id)
+	c.ended.add(now, r.id)
 	if e.IsLoad {
 		p.Exchanges.Finish(e, dispatch.WorkerReply{Outcome: outcome}, fieldCount(r.fields, fieldReplicas))
 	} else {
--- a/internal/upstream/frames/send.go
+++ b/internal/upstream/frames/send.go
@@ -144,9 +144,13 @@
 	}
 	p.remove(e)
 	c := e.connection
-	switch {
-	case c == nil || !p.Connections.Contains(c):
+	if c == nil || !p.Connections.Contains(c) {
 		return
+	}
+	if e.Sent {
+		c.ended.add(now, e.wireID)
+	}
+	switch {
 	case e.Sent && p.transport.Unsent(c.ID) > 0:
 		p.closeLost(c)
 		return
