--- a/internal/downstream/frames/session_test.go
+++ b/internal/downstream/frames/session_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -218,8 +219,13 @@
 	}
 }
 
+// canonicalID matches the IDs that a session passes on. There is one text for each number that workers receive.
+var canonicalID = regexp.MustCompile(`^[0-9a-f]{16}\z`)
+
+// FuzzSession checks that a session does the same however its input is split, and passes on no ID in a second spelling.
 func FuzzSession(f *testing.F) {
 	f.Add(encodeRequest(1, "b"), uint8(3))
+	f.Add(append(encodeRequest(1, "b"), encodeRequest(2, "c", "req=9B1F03AA5C7E2D41", "subject=7F3a9C21E0B4D655")...), uint8(7))
 	f.Add([]byte{0, 0, 0, 5, 4, 0, 0, 0, 0}, uint8(1))
 	f.Add(binary.BigEndian.AppendUint32(nil, 1<<31), uint8(9))
 	f.Fuzz(func(t *testing.T, in []byte, cut uint8) {
@@ -234,6 +240,11 @@
 		if a, b := unsplit.Output(), pieces.Output(); !bytes.Equal(a, b) || len(unsplitHandler.requests) != len(piecesHandler.requests) {
 			t.Errorf("output for unsplit input %q, for split input %q", a, b)
 		}
+		for _, request := range unsplitHandler.requests {
+			if !canonicalID.MatchString(request.ID) || !canonicalID.MatchString(request.Function) {
+				t.Errorf("request %q for function %q is passed on", request.ID, request.Function)
+			}
+		}
 		if len(pieces.framer.buf) > headerSize+maxFieldsSize+MaxBody {
 			t.Errorf("%d bytes buffered", len(pieces.framer.buf))
 		}
--- a/internal/verification/nodetest/client.go
+++ b/internal/verification/nodetest/client.go
@@ -21,9 +21,8 @@
 
 // Client is a client's connection to a front end. A zero Client has no connection and can only encode frames.
 type Client struct {
-	Conn net.Conn
-
-	stream uint32 // stream number of the last request
+	Conn   net.Conn
+	Stream uint32 // stream number of the last request
 }
 
 // Dial connects to a front end.
@@ -48,6 +47,9 @@
 	_, _ = c.Conn.Write(data) // if the connection is closed, the next Receive reports it
 }
 
+// RequestSpec holds the values in which the requests of tests differ.
+type RequestSpec struct{ ID, Class, Function, Body string }
+
 // Request encodes the next request, with an ID that no other request has.
 func (c *Client) Request(function, body string) []byte {
 	return c.RequestWithID(fmt.Sprintf("%016x", requestCount.Add(1)), function, body)
@@ -55,22 +57,31 @@
 
 // RequestWithID encodes the next request with a given ID.
 func (c *Client) RequestWithID(id, function, body string) []byte {
-	c.stream++
+	return c.Encode(RequestSpec{ID: id, Class: "call", Function: function, Body: body})
+}
+
+// Encode encodes the next request.
+func (c *Client) Encode(spec RequestSpec) []byte {
+	c.Stream++
 	fields := []string{
-		"kind", "call", "req", id, "timeout", "1500", "owner", "acme", "subject", function, "more", "lanes:8;load_ms:50",
+		"kind", spec.Class, "req", spec.ID, "timeout", "1500", "owner", "acme", "subject", spec.Function, "more", "lanes:8;load_ms:50",
 	}
-	payload := []byte{1, 0, 0, 0, byte(c.stream), byte(len(fields) / 2)}
+	payload := binary.BigEndian.AppendUint32([]byte{1}, c.Stream)
+	payload = append(payload, byte(len(fields)/2))
 	for i := 0; i < len(fields); i += 2 {
 		payload = append(append(payload, byte(len(fields[i]))), fields[i]...)
 		payload = append(binary.BigEndian.AppendUint16(payload, uint16(len(fields[i+1]))), fields[i+1]...)
 	}
-	payload = append(payload, body...)
+	payload = append(payload, spec.Body...)
 	return append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))), payload...)
 }
 
 // Cancellation encodes a frame that cancels the last request.
-func (c *Client) Cancellation() []byte {
-	return append([]byte{0, 0, 0, 5, 3}, binary.BigEndian.AppendUint32(nil, c.stream)...)
+func (c *Client) Cancellation() []byte { return CancellationOf(c.Stream) }
+
+// CancellationOf encodes a frame that cancels the request on a stream.
+func CancellationOf(stream uint32) []byte {
+	return binary.BigEndian.AppendUint32([]byte{0, 0, 0, 5, 3}, stream)
 }
 
 // ReadinessQuery encodes a frame that asks whether the front end accepts requests.
--- a/internal/verification/nodetest/frame.go
+++ b/internal/verification/nodetest/frame.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"hash/crc32"
 	"io"
-	"net"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,10 +12,13 @@
 
 // Commands and replies of the platform's worker protocol.
 const (
-	CommandAttempt = 48
-	CommandLoad    = 52
-	ReplySucceeded = 64
-	ReplyFailed    = 68
+	CommandAttempt      = 48
+	CommandCancel       = 49
+	CommandLoad         = 52
+	ReplySucceeded      = 64
+	ReplyReplicaMissing = 66
+	ReplyRejected       = 67
+	ReplyFailed         = 68
 	// ReplyMagic is the magic number with which each reply begins.
 	ReplyMagic = 193
 )
@@ -47,8 +49,8 @@
 	header []byte
 }
 
-// ReadFrame reads the next frame from a worker's connection. It does not verify the checksum.
-func ReadFrame(conn net.Conn) (Frame, error) {
+// ReadFrame reads the next frame that was sent to a worker. It does not verify the checksum.
+func ReadFrame(conn io.Reader) (Frame, error) {
 	header := make([]byte, frameHeaderSize)
 	if _, err := io.ReadFull(conn, header); err != nil {
 		return Frame{}, err
@@ -65,6 +67,9 @@
 // Command returns the frame's command.
 func (f Frame) Command() byte { return f.header[1] }
 
+// ID returns the ID of the request or load command.
+func (f Frame) ID() uint64 { return binary.BigEndian.Uint64(f.header[requestIDOffset:]) }
+
 // Reply encodes a reply to the frame.
 func (f Frame) Reply(code byte, fields string, body []byte) []byte {
 	reply := binary.BigEndian.AppendUint16([]byte{ReplyMagic, code}, uint16(len(fields)))
