Split the simulated appliance: store and background tasks have files of their own

Change: lifecycle and power stay; the store's commits and syncs and the background tasks move out, with the constants of the tasks.

--- a/internal/verification/simulation/appliance.go
+++ b/internal/verification/simulation/appliance.go
@@ -25,22 +25,12 @@
 	minRestartDelay   = 0.1   // minimum time from the exit of a process to its restart
 	tornRestartDelay  = 0.3   // from a torn write, which stops the machine, to the restart
 	powerLossDuration = 0.2   // from a power loss to the return of power
-	taskInterval      = 0.1   // between slices of background tasks
-	taskSliceDuration = 0.005 // duration of a slice as reported to the task scheduler
-	expiryBatch       = 50    // maximum number of records deleted by one slice of the expiry task
 	baseUptime        = 1e6   // of the monotonic clock of the first machine at the start
 	uptimeDifference  = 1000  // between the monotonic clocks of consecutive machines
 	stateDirectory    = "state"
 	baseAppliancePort = 8080
 )
 
-// Names of the background tasks, as in package appliance.
-const (
-	taskTick       = "tick"
-	taskExpiry     = "expiry"
-	taskCompaction = "compaction"
-)
-
 // applianceProcess is an appliance with its machine: the disk, and the lifecycle, store, schedules and front ends of the
 // current process. It connects the components like appliance.Appliance, but on the virtual clock.
 type applianceProcess struct {
@@ -141,15 +131,6 @@
 	a.handle(appliance.StoreOpened, "")
 }
 
-func (a *applianceProcess) storeOptions(d *disk) storage.Options {
-	return storage.Options{FS: d.view(), Retention: responseRetention, Synchronous: true, Clock: a.timestamp}
-}
-
-// timestamp returns the machine's boot ID and uptime for the store. Only a power loss changes the boot ID.
-func (a *applianceProcess) timestamp() storage.Timestamp {
-	return storage.Timestamp{BootID: fmt.Sprintf("%s/%d", a.name, a.site.reboots[a.number]), Uptime: float64(a.scheduler.now)}
-}
-
 // execute executes an action of the lifecycle.
 func (a *applianceProcess) execute(action appliance.Action) {
 	switch action {
@@ -188,16 +169,6 @@
 	}
 }
 
-func (a *applianceProcess) closeStore() {
-	if a.store == nil {
-		return
-	}
-	if err := a.store.Close(); err != nil && !a.disk.full && a.store.Err() == nil {
-		a.site.violation("state", "%s: failed to close the state: %v", a.name, err)
-	}
-	a.store = nil
-}
-
 // awaitDrained polls until no request is open, or draining has ended.
 func (a *applianceProcess) awaitDrained() {
 	open := 0
@@ -209,17 +180,6 @@
 	}
 }
 
-// awaitRecordsStored polls until the records of all front ends are stored.
-func (a *applianceProcess) awaitRecordsStored() {
-	for _, f := range a.frontEnds {
-		if f.proxy != nil && !f.proxy.RecordsStored() {
-			a.after(pollInterval, "writes", a.awaitRecordsStored)
-			return
-		}
-	}
-	a.handle(appliance.RequestsTerminated, "")
-}
-
 // recover starts the front ends, schedules and background tasks with the recovered state, and resubmits the scheduled
 // requests that were not completed.
 func (a *applianceProcess) recover() {
@@ -236,89 +196,10 @@
 	for _, request := range a.recovered.ScheduledRequests {
 		a.submitScheduled(request.Request, request.Deadline, 1)
 	}
-	a.tasks = appliance.NewTaskScheduler(float64(a.scheduler.now),
-		appliance.BackgroundTask{Name: taskTick, Interval: 1, Priority: 3, SliceDuration: 0.05, Urgent: true},
-		appliance.BackgroundTask{Name: taskExpiry, Interval: 2, Priority: 2, SliceDuration: 0.02, MaxTimeFraction: 0.05, MaxDelay: 5},
-		appliance.BackgroundTask{Name: taskCompaction, Interval: 7, Priority: 1, SliceDuration: 1, MaxTimeFraction: 0.05, MaxDelay: 10})
-	a.after(taskInterval, "chores", a.runTask)
+	a.startTasks()
 	a.handle(appliance.StateRecovered, "")
 }
 
-// runTask runs one slice of the background task that is due next.
-func (a *applianceProcess) runTask() {
-	if a.store == nil || a.lifecycle.State >= appliance.Terminating {
-		return
-	}
-	name, _ := a.tasks.Next(float64(a.scheduler.now), 0)
-	more := false
-	err := a.withStore(func() (err error) {
-		more, err = a.runTaskSlice(name)
-		return err
-	})
-	if !a.running {
-		return
-	}
-	a.tasks.Done(float64(a.scheduler.now), name, taskSliceDuration, more, err)
-	a.after(taskInterval, "chores", a.runTask)
-}
-
-// runTaskSlice runs one slice of a background task, and reports whether the task has more to do.
-func (a *applianceProcess) runTaskSlice(name string) (more bool, err error) {
-	switch name {
-	case taskTick:
-		var snapshots []dispatch.ReplicaSnapshot
-		for _, f := range a.frontEnds {
-			snapshots = append(snapshots, f.proxy.ReplicaSnapshots()...)
-		}
-		return false, a.store.SaveReplicas(snapshots)
-	case taskExpiry:
-		n, err := a.store.Expire(expiryBatch)
-		return n == expiryBatch, err
-	case taskCompaction:
-		return false, a.store.Compact()
-	}
-	return false, nil
-}
-
-// withStore calls do, which writes to the store, and simulates a power loss of the machine if a write was torn.
-func (a *applianceProcess) withStore(do func() error) error {
-	before := a.disk.tornWrites
-	err := do()
-	if a.disk.tornWrites > before {
-		a.crash(powerLoss, tornRestartDelay)
-	}
-	return err
-}
-
-// Commit implements proxy.RecordStore. The records are written with the batch of the next disk sync.
-func (a *applianceProcess) Commit(records []dispatch.Record, done func(error)) {
-	a.addUnacknowledged(records)
-	a.store.Commit(records, func(err error) {
-		if err == nil {
-			a.acknowledge(records)
-		}
-		done(err)
-	})
-	a.sync()
-}
-
-func (a *applianceProcess) sync() {
-	if a.syncPending {
-		return
-	}
-	a.syncPending = true
-	a.after(syncTime+a.disk.syncDelay, "syncs", func() {
-		a.syncPending = false
-		if a.store == nil { // closing the store has committed the batch
-			return
-		}
-		_ = a.withStore(func() error { // CommitPending reports errors to the callers of Commit
-			a.store.CommitPending()
-			return nil
-		})
-	})
-}
-
 // crash terminates the process without a graceful shutdown, with its machine in case of a power loss, and schedules the
 // restart.
 func (a *applianceProcess) crash(kind exitKind, restartIn float64) {
