Soak: repeat IDs of idempotent requests in either case, and give each request a body of its own

Cause: clients of the soak drew IDs that never come twice and wrote them in small letters, and all bodies were alike, so that neither a second spelling nor a foreign response could show on real sockets. Change: a tenth of the idempotent requests have the ID of the one before them on the same process; IDs of requests and functions come in either case; the worker replies with the request's body.

--- a/internal/verification/soak/client.go
+++ b/internal/verification/soak/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -51,8 +50,10 @@
 	id     uint64
 	callID uint64
 	class  string
-	sentAt time.Time
-	// duringOutage is set if discovery was unavailable to the front end when the request was sent.
+	// repeatsID is set if an earlier request has the same ID.
+	repeatsID bool
+	sentAt    time.Time
+	// duringOutage is set if discovery was unavailable to the front end when the request was sent, unless it repeats an ID.
 	duringOutage bool
 }
 
@@ -108,18 +109,26 @@
 }
 
 func (c *clientConn) newRequest(random *rand.Rand) *clientRequest {
-	return &clientRequest{id: random.Uint64()>>1 + 1, callID: c.harness.recorder.NextCallID(), class: classes[random.IntN(len(classes))]}
+	request := &clientRequest{id: random.Uint64()>>1 + 1, callID: c.harness.recorder.NextCallID(), class: classes[random.IntN(len(classes))]}
+	if request.class == classIdempotent {
+		repeat := random.Float64() < repeatFraction
+		request.id, request.repeatsID = c.frontEnd.lastID.next(c.process, request.id, repeat)
+	}
+	return request
 }
 
+// body returns the body of a request, which no other request has.
+func (r *clientRequest) body() []byte { return strconv.AppendUint([]byte("body "), r.callID, 10) }
+
 // send sends a request and records it.
 func (c *clientConn) send(request *clientRequest, random *rand.Rand) {
-	function := fmt.Sprintf("%016x", 0xf0+random.IntN(functionCount))
+	functionID := uint64(0xf0 + random.IntN(functionCount))
 	fields := []clientField{
 		{"kind", request.class},
-		{"req", requestName(request.id)},
+		{"req", spell(request.id, random)},
 		{"timeout", strconv.FormatInt(c.harness.requestTimeout().Milliseconds(), 10)},
 		{"owner", "acme"},
-		{"subject", function},
+		{"subject", spell(functionID, random)},
 		{"ms", "20"},
 		{"more", "lanes:4;load_ms:60;memory_mb:64"},
 	}
@@ -135,12 +144,12 @@
 	stream := c.lastStream
 	c.open[stream] = request
 	request.sentAt = time.Now()
-	request.duringOutage = c.harness.discovery.isUnavailableFor(c.frontEnd.number)
+	request.duringOutage = !request.repeatsID && c.harness.discovery.isUnavailableFor(c.frontEnd.number)
 	c.harness.recorder.Add(invariants.Record{
 		Kind: invariants.RequestSent, CallID: request.callID, RequestID: requestName(request.id),
-		Class: request.class, Function: function, FrontEnd: c.process, Timeout: (c.harness.requestTimeout() + responseGrace).Seconds(),
+		Class: request.class, Function: requestName(functionID), FrontEnd: c.process, Timeout: (c.harness.requestTimeout() + responseGrace).Seconds(),
 	})
-	_, _ = c.conn.Write(encodeClientFrame(frameRequest, stream, append(encodeFields(fields), "body"...))) // readFrames reports a write to a closed connection
+	_, _ = c.conn.Write(encodeClientFrame(frameRequest, stream, append(encodeFields(fields), request.body()...))) // readFrames reports a write to a closed connection
 	c.mu.Unlock()
 }
 
@@ -238,7 +247,7 @@
 		return // the request was cancelled while the response was on its way
 	}
 	delete(c.open, frame.stream)
-	if frame.code == codeSucceeded && string(frame.body()) != string(responseBody(request.id)) {
+	if frame.code == codeSucceeded && string(frame.body()) != string(responseBody(request.id, request.body())) {
 		c.harness.violate("body", "request %s of %s: unexpected response body %q", requestName(request.id), c.process, frame.body())
 	}
 	c.harness.recorder.Add(invariants.Record{
--- a/internal/verification/soak/front_end.go
+++ b/internal/verification/soak/front_end.go
@@ -38,6 +38,7 @@
 	listen, peer string
 	documentPath string
 	claimed      atomic.Bool // reserved by a fault that is in progress
+	lastID       lastID
 
 	mu           sync.Mutex
 	process      *process
--- a/internal/verification/soak/worker.go
+++ b/internal/verification/soak/worker.go
@@ -229,14 +229,14 @@
 	time.Sleep(time.Duration(rand.ExpFloat64() * float64(meanWork)))
 	<-w.lanes
 	if !w.harness.recordExecution(frame, w.name) {
-		c.reply(replySucceeded, frame, responseBody(frame.id), fault) // the worker has executed the request before
+		c.reply(replySucceeded, frame, responseBody(frame.id, frame.body), fault) // the worker has executed the request before
 		return
 	}
 	if fault == resetConnections {
 		reset(c.conn)
 		return
 	}
-	c.reply(replySucceeded, frame, responseBody(frame.id), fault)
+	c.reply(replySucceeded, frame, responseBody(frame.id, frame.body), fault)
 }
 
 // reply ends an attempt and sends its reply, corrupted or duplicated if that is the worker's fault.
@@ -319,5 +319,7 @@
 // requestName formats a request ID as the records contain it.
 func requestName(id uint64) string { return fmt.Sprintf("%016x", id) }
 
-// responseBody returns the response body that a worker sends for a successful request.
-func responseBody(id uint64) []byte { return []byte("done " + requestName(id)) }
+// responseBody returns the response body that a worker sends for a successful request with a body.
+func responseBody(id uint64, body []byte) []byte {
+	return append([]byte("done "+requestName(id)+" "), body...)
+}
