Simulated disk: faults are set under the mutex that the storage library's goroutines read them with

Cause: endFaults and the injections wrote full, ignoreSync and tornWriteBytes without the mutex, while the goroutine that abandons the store of an ended process still read them (writeError, ignoresSync). Change: the fields are set and read by methods of the disk.

--- a/internal/verification/simulation/appliance.go
+++ b/internal/verification/simulation/appliance.go
@@ -116,7 +116,7 @@
 	} else {
 		store, recovered, err := storage.OpenStore(stateDirectory, a.storeOptions(a.disk))
 		if err != nil {
-			if !a.disk.full {
+			if !a.disk.isFull() {
 				a.site.violation("state", "%s: failed to open the state: %v", a.name, err)
 			}
 			a.handle(appliance.Failed, "state")
--- a/internal/verification/simulation/appliance_store.go
+++ b/internal/verification/simulation/appliance_store.go
@@ -21,7 +21,7 @@
 	if a.store == nil {
 		return
 	}
-	if err := a.store.Close(); err != nil && !a.disk.full && a.store.Err() == nil {
+	if err := a.store.Close(); err != nil && !a.disk.isFull() && a.store.Err() == nil {
 		a.site.violation("state", "%s: failed to close the state: %v", a.name, err)
 	}
 	a.store = nil
@@ -40,9 +40,9 @@
 
 // withStore calls do, which writes to the store, and simulates a power loss of the machine if a write was torn.
 func (a *applianceProcess) withStore(do func() error) error {
-	before := a.disk.tornWrites
+	before := a.disk.tornWriteCount()
 	err := do()
-	if a.disk.tornWrites > before {
+	if a.disk.tornWriteCount() > before {
 		a.crash(powerLoss, tornRestartDelay)
 	}
 	return err
--- a/internal/verification/simulation/disk.go
+++ b/internal/verification/simulation/disk.go
@@ -55,6 +55,42 @@
 // view returns the file system for one process. It isn't affected by late writes of an earlier process.
 func (d *disk) view() vfs.FS { return &diskView{d.fs, d} }
 
+// setFull makes writes fail for lack of space or ends that, and reports whether they failed before.
+func (d *disk) setFull(full bool) (wasFull bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wasFull, d.full = d.full, full
+	return wasFull
+}
+
+// isFull reports whether writes fail for lack of space.
+func (d *disk) isFull() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.full
+}
+
+// setIgnoreSync makes syncs report success without syncing, or ends that.
+func (d *disk) setIgnoreSync(ignore bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ignoreSync = ignore
+}
+
+// tearNextWrite makes the machine stop after a number of bytes of the next log record.
+func (d *disk) tearNextWrite(bytes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tornWriteBytes = bytes
+}
+
+// tornWriteCount returns the number of writes that were torn.
+func (d *disk) tornWriteCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tornWrites
+}
+
 // writeError returns the error with which a write fails at present, or nil.
 func (d *disk) writeError() error {
 	d.mu.Lock()
--- a/internal/verification/simulation/inject.go
+++ b/internal/verification/simulation/inject.go
@@ -44,12 +44,11 @@
 
 func (i *injection) fillDisk() {
 	a := i.appliance
-	a.disk.full = true
+	a.disk.setFull(true)
 	i.undoLater("room on the disk", func() {
-		if !a.disk.full {
+		if wasFull := a.disk.setFull(false); !wasFull {
 			return
 		}
-		a.disk.full = false
 		if a.store != nil && a.store.Err() != nil {
 			i.restartAfterDiskFailure(a)
 		}
@@ -58,13 +57,13 @@
 
 func (i *injection) ignoreSyncs() {
 	d := i.appliance.disk
-	d.ignoreSync = true
-	i.undoLater("disk is honest", func() { d.ignoreSync = false })
+	d.setIgnoreSync(true)
+	i.undoLater("disk is honest", func() { d.setIgnoreSync(false) })
 }
 
 func (i *injection) tearWrite() {
 	if i.appliance.store != nil {
-		i.appliance.disk.tornWriteBytes = i.fault.Bytes
+		i.appliance.disk.tearNextWrite(i.fault.Bytes)
 	}
 }
 
--- a/internal/verification/simulation/site.go
+++ b/internal/verification/simulation/site.go
@@ -316,9 +316,9 @@
 
 func (a *applianceProcess) endFaults() {
 	a.ignoreList = false
-	a.disk.syncDelay, a.disk.ignoreSync = 0, false
-	wasFull := a.disk.full
-	a.disk.full = false
+	a.disk.syncDelay = 0
+	a.disk.setIgnoreSync(false)
+	wasFull := a.disk.setFull(false)
 	if a.suspended {
 		a.resume()
 	}
