Tests of the endpoint file: no empty file in between, no wait for the disk after a change was dated

Cause: the first test writes the file in place with os.WriteFile, which empties it before it writes; the watch polled in between and rightly reported an empty file. Change: the test writes over the file, of the same size and modification time as before, so that it still needs the periodic read. The fake renames without a sync; date, bound and check are as they were.

--- a/internal/eventloop/file_watch_test.go
+++ b/internal/eventloop/file_watch_test.go
@@ -58,9 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(path, []byte("c"), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	overwrite(t, path, "c")
 	if err := os.Chtimes(path, time.Time{}, info.ModTime()); err != nil {
 		t.Fatal(err)
 	}
@@ -74,6 +72,22 @@
 	wantText(t, reads, "d")
 }
 
+// overwrite writes content over the beginning of a file. Unlike os.WriteFile it does not empty the file first, which the watch
+// would report if it read the file in between.
+func overwrite(t *testing.T, path, content string) {
+	t.Helper()
+	file, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := file.WriteString(content); err != nil {
+		t.Fatal(err)
+	}
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // replaceFile writes a new file and renames it to path.
 func replaceFile(t *testing.T, path, content string) {
 	t.Helper()
--- a/internal/verification/fakes/endpoint_list.go
+++ b/internal/verification/fakes/endpoint_list.go
@@ -3,12 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"streamcleat/internal/verification/invariants"
 )
 
@@ -83,7 +82,16 @@
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(l.path, data, 0o644)
+	return replaceFile(l.path, data)
+}
+
+// replaceFile replaces a file in one step. It does not wait for the disk, since the time of a change was recorded before.
+func replaceFile(path string, data []byte) error {
+	next := path + ".next"
+	if err := os.WriteFile(next, data, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
 }
 
 func (e listEntry) targetGroup() TargetGroup {
