Fake endpoint list: date a change between writing the new file and renaming it

What held the list up is not known; any slow write counted as time of the notice, since the notice was dated before the file was written. Change: the file is written first, then the change is dated, then the file is renamed, which is when a front end can read it. Bound and check are as they were, and no front end reads a change before its date.

--- a/internal/verification/fakes/endpoint_list.go
+++ b/internal/verification/fakes/endpoint_list.go
@@ -52,11 +52,14 @@
 	for _, w := range workers {
 		l.entries = append(l.entries, listEntry{w, stateServing})
 	}
-	return l, l.write()
+	if err := l.prepare(); err != nil {
+		return nil, err
+	}
+	return l, l.publish()
 }
 
-// SetState changes or adds a worker's entry; the state "gone" removes it. It records the change before it writes the
-// file, so that no front end reads a change that is not yet recorded.
+// SetState changes or adds a worker's entry; the state "gone" removes it. It records the change between writing the new file
+// and renaming it, so that no front end reads a change that is not yet recorded, and no slow write counts as time of the notice.
 func (l *EndpointList) SetState(w *Worker, state string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,11 +72,18 @@
 	if state != stateRemoved {
 		l.entries = append(l.entries, listEntry{w, state})
 	}
+	if err := l.prepare(); err != nil {
+		return err
+	}
 	l.recorder.Add(invariants.Record{Kind: invariants.EndpointUpdated, Worker: w.Name(), EndpointState: state, StartedAt: started})
-	return l.write()
+	return l.publish()
 }
 
-func (l *EndpointList) write() error {
+// preparedPath returns the path of the file that replaces the list.
+func (l *EndpointList) preparedPath() string { return l.path + ".next" }
+
+// prepare writes the entries to a file beside the list.
+func (l *EndpointList) prepare() error {
 	groups := []TargetGroup{}
 	for _, entry := range l.entries {
 		groups = append(groups, entry.targetGroup())
@@ -82,17 +92,11 @@
 	if err != nil {
 		return err
 	}
-	return replaceFile(l.path, data)
+	return os.WriteFile(l.preparedPath(), data, 0o644)
 }
 
-// replaceFile replaces a file in one step. It does not wait for the disk, since the time of a change was recorded before.
-func replaceFile(path string, data []byte) error {
-	next := path + ".next"
-	if err := os.WriteFile(next, data, 0o644); err != nil {
-		return err
-	}
-	return os.Rename(next, path)
-}
+// publish replaces the list by the prepared file in one step.
+func (l *EndpointList) publish() error { return os.Rename(l.preparedPath(), l.path) }
 
 func (e listEntry) targetGroup() TargetGroup {
 	config := e.worker.config
