In an outage, a worker without a connection since the last list counts as possibly cold

Cause: a worker counted as possibly replaced only once the last connection to it was seen to end after the last line of discovery (worker.disconnectedAt). A worker that was never used, that was closed when idle before that line, or that was first used in the outage had no such end, so that the process at its address counted as the one that was listed, which was warm. OnDiscoveryAvailable cleared the mark also where no connection was open. "No connection ended in the outage" was taken for "a connection was open through the outage".

Change: the evidence that decides where keys of idempotency count now decides warmth too: a process is the listed one if it responded before discovery last confirmed the list, and its connection has not ended since. Any other counts as started by its first response at the latest. worker.disconnectedAt and reconnectedAt are gone. When discovery is lost, such workers begin with slow start credits of their own; before that, attempts on them spent what they would need. So that front ends which restart in an outage are served by what others know, responses to requests for lease confirmations have a second kind, for workers that the sender also knows as warm. It holds for a process that is connected by a lease after.

TestLease_DisconnectionBeforeOutageIsDetected asked for the fault: a worker was to count as warm in an outage after a list that came while no connection was open. TestLease_WorkerWithoutConnectionMayBeAnotherProcess takes its place, with its other cases and more orders of events. The fixtures of lease tests now have workers that responded before the last list, as their comments said, and the simulated front ends call MaySend, MayExecute, MayLoad and MayQuery as hosts must.

--- a/control/endpoint_index.go
+++ b/control/endpoint_index.go
@@ -36,10 +36,12 @@
 // also if the start is the same: the update may be that of the address.
 func (r *Router) updateWorker(w *worker, endpoint Worker) {
 	w.state = endpoint.State
+	assumedAt := w.process.assumedAt
 	w.process, w.certainProcess = r.newListedProcess(endpoint), nil
 	if w.state == Removed {
 		return
 	}
+	w.process.assumedAt = assumedAt
 	if endpoint.StartedAt != w.startedAt {
 		r.resetProcess(w)
 	}
@@ -49,9 +51,6 @@
 func (r *Router) setEndpoint(w *worker, endpoint Worker) {
 	w.machine = r.machineStatsOf(endpoint.MachineType)
 	w.weight = max(endpoint.Weight, minWorkerWeight)
-	if w.startedAt != endpoint.StartedAt {
-		w.disconnectedAt, w.reconnectedAt = 0, 0
-	}
 	w.startedAt = endpoint.StartedAt
 }
 
--- a/control/endpoint_lease.go
+++ b/control/endpoint_lease.go
@@ -36,6 +36,7 @@
 	// uninterruptedSince is the time since which the list has been valid without an interruption of the watch.
 	uninterruptedSince units.Seconds
 	interrupted        bool // the watch was interrupted, or the process suspended, since the last confirmation
+	wasAvailable       bool // discovery was available at the last input
 	// subscribed is set once a poll has succeeded: changes are pushed from then on.
 	subscribed bool
 }
@@ -74,11 +75,8 @@
 	for _, w := range r.workers {
 		w.lease.drainConfirmed, w.lease.drainSeenAt = false, 0
 		w.identifyProcess(asOf)
-		if w.disconnectedAt <= asOf {
-			w.disconnectedAt, w.reconnectedAt = 0, 0 // the list shows any process that replaced it
-		}
 	}
-	if r.isDiscoveryAvailable() {
+	if r.discovery.wasAvailable = r.isDiscoveryAvailable(); r.discovery.wasAvailable {
 		r.releaseAllWaiters(func(*worker) bool { return true })
 	}
 	r.applyRules()
@@ -101,6 +99,11 @@
 		r.discovery.expiresAt, r.discovery.suspendedAt, r.discovery.interrupted = 0, now, true
 	}
 	r.now = now
+	isAvailable := r.isDiscoveryAvailable()
+	if r.discovery.wasAvailable && !isAvailable {
+		r.onDiscoveryLost()
+	}
+	r.discovery.wasAvailable = isAvailable
 }
 
 // leaseDuration returns the time for which an accepted message confirms a lease.
@@ -139,7 +142,7 @@
 // isConfirmed reports whether the last confirmation of w is still valid. If w began to drain after it, the drain grace has not
 // expired.
 func (r *Router) isConfirmed(w *worker) bool {
-	return r.isDiscoveryAvailable() || w.lease.acceptedAt > w.disconnectedAt && r.now < w.lease.acceptedAt+r.leaseDuration()
+	return r.isDiscoveryAvailable() || w.lease.acceptedAt > w.process.assumedAt && r.now < w.lease.acceptedAt+r.leaseDuration()
 }
 
 // MaySend reports whether an attempt may still be sent to a worker. The host calls it for each attempt when it
@@ -159,7 +162,7 @@
 		return false
 	}
 	if fn := r.functionsByID[function]; fn != nil && fn.pendingLoadOn == w {
-		fn.loadCommandedTo = w.process
+		fn.loadCommandedTo = r.reachProcess(w)
 	}
 	return true
 }
@@ -172,7 +175,7 @@
 	if !known || replicas > 0 && !r.isConfirmed(w) {
 		return false
 	}
-	w.lease.queriedProcess = w.process
+	w.lease.queriedProcess = r.reachProcess(w)
 	return true
 }
 
--- a/control/endpoint_lease_test.go
+++ b/control/endpoint_lease_test.go
@@ -65,7 +65,8 @@
 
 func (h *leaseHost) RequestEndpoints() {}
 
-// newLeaseHost returns the host of a router for which discovery is available and that has just used function f on its home.
+// newLeaseHost returns the host of a router for which discovery is available, whose workers have responded and are identified,
+// and that has just used function f on its home.
 func newLeaseHost() *leaseHost {
 	h := &leaseHost{now: 100}
 	deployment := basicDeployment()
@@ -83,6 +84,10 @@
 	h.home = h.router.functionsByID["f"].pendingLoadOn.id
 	h.loaded(h.home)
 	h.endAttempt("first", h.home, Succeeded, 0.1)
+	for _, w := range h.router.workers {
+		h.router.onReply(w, w.process, Succeeded)
+	}
+	h.router.OnDiscoveryAvailable(h.now, h.now)
 	h.clear()
 	return h
 }
--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -77,6 +77,7 @@
 	"return":     func(h *keyedHost) { h.update(Worker{FailureDomain: 1}) },
 	"remove":     func(h *keyedHost) { h.update(Worker{FailureDomain: 1, State: Removed}) },
 	"move":       func(h *keyedHost) { h.update(Worker{FailureDomain: 2}) },
+	"restart":    func(h *keyedHost) { h.update(Worker{FailureDomain: 1, StartedAt: h.now}) },
 	"reply":      func(h *keyedHost) { h.reply(h.home) },
 	"send":       (*keyedHost).send,
 	"failed":     func(h *keyedHost) { h.endAttempt("keyed", h.home, Failed, 0.01) },
@@ -210,9 +211,10 @@
 				h.router.OnDisconnected(h.now, id)
 			}
 		}
-		h.play("list outage") // the list confirms that no worker is cold
+		h.play("list outage")
 		for id, name := range h.names() {
 			h.confirm(id)
+			h.router.workersByID[id].recordWarm(h.now)
 			if strings.Contains(c.warm, name) {
 				fn.ensureReplica(h.router.workersByID[id]).markWarm(h.now)
 			}
--- a/control/peer_confirmations.go
+++ b/control/peer_confirmations.go
@@ -28,10 +28,12 @@
 )
 
 // Confirmation messages have odd lengths, other gossip messages have even ones. They consist of the kind, the nonce of the
-// request in 32 bits and, in a response, 16 bits for each worker: its digest in 12, and the age of its confirmation in 4.
+// request in 32 bits and, in a response, 16 bits for each worker: its digest in 12, and the age of its confirmation in 4. A
+// response has a second kind for the workers that the sender also knew as warm at the time of the confirmation.
 const (
-	confirmationRequestKind  byte = 1
-	confirmationResponseKind byte = 2
+	confirmationRequestKind      byte = 1
+	confirmationResponseKind     byte = 2
+	warmConfirmationResponseKind byte = 3
 
 	confirmationRequestBytes = 5
 	confirmationBytes        = 2
@@ -99,8 +101,8 @@
 	switch data[0] {
 	case confirmationRequestKind:
 		r.respondToConfirmationRequest(nonce)
-	case confirmationResponseKind:
-		r.onConfirmationResponse(nonce, data[confirmationRequestBytes:])
+	case confirmationResponseKind, warmConfirmationResponseKind:
+		r.onConfirmationResponse(data[0], nonce, data[confirmationRequestBytes:])
 	default: // unknown kind, of another version
 	}
 }
@@ -112,15 +114,36 @@
 		r.random.fraction()*float64(r.deployment.FrontEnds-1) >= responsesPerConfirmationRequest {
 		return
 	}
-	response := binary.LittleEndian.AppendUint32([]byte{confirmationResponseKind}, nonce)
+	response, warmResponse := newConfirmationResponse(confirmationResponseKind, nonce), newConfirmationResponse(warmConfirmationResponseKind, nonce)
 	first := r.random.below(len(r.workers)) // random, as a response may not have room for all workers
 	for i := range r.workers {
 		w := r.workers[(first+i)%len(r.workers)]
-		if step, known := r.confirmationAgeStep(w); known &&
-			len(response) < confirmationRequestBytes+maxConfirmationsPerResponse*confirmationBytes {
-			response = binary.LittleEndian.AppendUint16(response, uint16(w.digest())|step<<confirmationAgeShift)
+		if step, known := r.warmConfirmationAgeStep(w); known {
+			warmResponse.add(w, step)
+		} else if step, known := r.confirmationAgeStep(w); known {
+			response.add(w, step)
 		}
 	}
+	r.broadcastConfirmations(response)
+	r.broadcastConfirmations(warmResponse)
+}
+
+// confirmationResponse is the encoding of a response.
+type confirmationResponse []byte
+
+func newConfirmationResponse(kind byte, nonce uint32) confirmationResponse {
+	return binary.LittleEndian.AppendUint32([]byte{kind}, nonce)
+}
+
+// add adds a worker if there is room for it.
+func (c *confirmationResponse) add(w *worker, step uint16) {
+	if len(*c) < confirmationRequestBytes+maxConfirmationsPerResponse*confirmationBytes {
+		*c = binary.LittleEndian.AppendUint16(*c, uint16(w.digest())|step<<confirmationAgeShift)
+	}
+}
+
+// broadcastConfirmations broadcasts a response unless it is empty.
+func (r *Router) broadcastConfirmations(response confirmationResponse) {
 	if len(response) > confirmationRequestBytes {
 		r.host.Broadcast(response)
 	}
@@ -134,11 +157,28 @@
 	case w.state != Serving || r.hasRejected(w):
 		return 0, false
 	}
-	acceptedAt := w.lease.acceptedAt
+	return r.ageStep(r.lastConfirmedAt(w))
+}
+
+// warmConfirmationAgeStep is confirmationAgeStep for a response that states that w is warm.
+func (r *Router) warmConfirmationAgeStep(w *worker) (step uint16, known bool) {
+	if w.state != Serving || r.hasRejected(w) {
+		return 0, false
+	}
+	return r.ageStep(min(r.lastConfirmedAt(w), r.lastWarmAt(w)))
+}
+
+// lastConfirmedAt returns the time as of which the lease of w was last confirmed.
+func (r *Router) lastConfirmedAt(w *worker) units.Seconds {
 	if r.isDiscoveryAvailable() {
-		acceptedAt = max(acceptedAt, r.discovery.confirmedAt)
+		return max(w.lease.acceptedAt, r.discovery.confirmedAt)
 	}
-	age := math.Ceil(float64((r.now - acceptedAt) / r.confirmationAgeUnit()))
+	return w.lease.acceptedAt
+}
+
+// ageStep encodes the age of a confirmation, or returns false if it has expired.
+func (r *Router) ageStep(confirmedAt units.Seconds) (step uint16, valid bool) {
+	age := math.Ceil(float64((r.now - confirmedAt) / r.confirmationAgeUnit()))
 	return uint16(min(age, drainingAgeStep)), age <= maxConfirmationAgeStep
 }
 
@@ -148,13 +188,13 @@
 }
 
 // onConfirmationResponse handles a response of a peer to the last request. Requests that wait for leases are resumed.
-func (r *Router) onConfirmationResponse(nonce uint32, confirmations []byte) {
+func (r *Router) onConfirmationResponse(kind byte, nonce uint32, confirmations []byte) {
 	if !r.confirmationRequest.isSent || nonce != r.confirmationRequest.nonce || r.isDiscoveryAvailable() {
 		return
 	}
 	r.confirmationRequest.responded = true
 	for ; len(confirmations) >= confirmationBytes; confirmations = confirmations[confirmationBytes:] {
-		r.applyPeerConfirmation(binary.LittleEndian.Uint16(confirmations))
+		r.applyPeerConfirmation(kind, binary.LittleEndian.Uint16(confirmations))
 	}
 	r.releaseAllWaiters(func(w *worker) bool { return !w.lease.queryPending })
 	r.endpointRulesDue = true
@@ -162,7 +202,7 @@
 }
 
 // applyPeerConfirmation applies the confirmation or drain of one worker that a peer reports.
-func (r *Router) applyPeerConfirmation(confirmation uint16) {
+func (r *Router) applyPeerConfirmation(kind byte, confirmation uint16) {
 	w, known := r.workersByDigest[uint32(confirmation)&workerDigestMask]
 	if !known || w.state != Serving {
 		return
@@ -173,7 +213,11 @@
 		return
 	}
 	acceptedAt := r.confirmationRequest.sentAt - units.Seconds(step)*r.confirmationAgeUnit()
-	if acceptedAt > w.disconnectedAt {
-		w.recordAcceptance(acceptedAt)
+	if acceptedAt <= w.process.assumedAt {
+		return
+	}
+	w.recordAcceptance(acceptedAt)
+	if kind == warmConfirmationResponseKind {
+		w.recordWarm(acceptedAt)
 	}
 }
--- a/control/peer_confirmations_test.go
+++ b/control/peer_confirmations_test.go
@@ -170,6 +170,7 @@
 func FuzzOnGossip(f *testing.F) {
 	f.Add([]byte{confirmationRequestKind, 1, 2, 3, 4})
 	f.Add([]byte{confirmationResponseKind, 1, 2, 3, 4, 5, 6})
+	f.Add([]byte{warmConfirmationResponseKind, 1, 2, 3, 4, 5, 6})
 	f.Add([]byte{1, 2, 3, 4})
 	f.Fuzz(func(t *testing.T, message []byte) {
 		h := newOutageWithPeers()
@@ -273,3 +274,81 @@
 		}
 	}
 }
+
+// A response states that a worker is warm only if its sender knows that of the process that it was last connected to or, while
+// discovery is available, of the listed one.
+func TestConfirmationResponse_StatesWarmWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		steps string
+		kind  byte
+	}{
+		"connected through the outage":     {"outage reply", warmConfirmationResponseKind},
+		"connected during the outage":      {"disconnect list outage reply", confirmationResponseKind},
+		"no response for longer":           {"outage", confirmationResponseKind},
+		"discovery is available":           {"disconnect list", warmConfirmationResponseKind},
+		"it is, but reported a cold start": {"restart list", confirmationResponseKind},
+	} {
+		h := newKeyedHost()
+		h.play(c.steps)
+		w := h.router.workersByID[h.home]
+		w.recordAcceptance(h.now)
+		h.broadcasts = nil
+		h.router.OnGossip(h.now, binary.LittleEndian.AppendUint32([]byte{confirmationRequestKind}, 77))
+		kinds := map[byte]bool{}
+		for _, response := range h.broadcasts {
+			for confirmations := response[confirmationRequestBytes:]; len(confirmations) > 0; confirmations = confirmations[confirmationBytes:] {
+				if uint32(binary.LittleEndian.Uint16(confirmations))&workerDigestMask == w.digest() {
+					kinds[response[0]] = true
+				}
+			}
+		}
+		if !kinds[c.kind] || len(kinds) != 1 {
+			t.Errorf("%s: kinds %v of responses, want %d", name, kinds, c.kind)
+		}
+	}
+}
+
+// A peer's statement that a worker is warm applies to the process that is connected at that time or within a lease after it.
+func TestConfirmationResponse_WarmAppliesToConnectedProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind                          byte
+		connectsAfter, disconnectsAt  units.Seconds // after the response; 0: before it, or never
+		isWarmAtResponse, isWarmLater bool
+	}{
+		"not stated":                           {kind: confirmationResponseKind},
+		"connected before":                     {kind: warmConfirmationResponseKind, isWarmAtResponse: true, isWarmLater: true},
+		"connected within a lease":             {kind: warmConfirmationResponseKind, connectsAfter: 0.3, isWarmAtResponse: true, isWarmLater: true},
+		"connected later":                      {kind: warmConfirmationResponseKind, connectsAfter: 0.45, isWarmAtResponse: true},
+		"connected before, disconnected since": {kind: warmConfirmationResponseKind, disconnectsAt: 0.1, isWarmAtResponse: true},
+	} {
+		h := newUnconnectedHost()
+		h.router.deployment.GossipAllowed, h.router.deployment.FrontEnds = true, 2
+		h.router.OnDiscoveryUnavailable(h.now)
+		h.advance(testDrainGrace)
+		w := h.router.workersByID["w0"]
+		if c.connectsAfter == 0 {
+			h.connectAll()
+		}
+		h.router.confirmationRequest.isSent = false
+		h.router.requestConfirmations()
+		response := binary.LittleEndian.AppendUint32([]byte{c.kind}, h.router.confirmationRequest.nonce)
+		h.router.OnGossip(h.now, binary.LittleEndian.AppendUint16(response, uint16(w.digest())))
+		if isWarm := h.router.warmUpProgress(w, h.now) >= 1; isWarm != c.isWarmAtResponse || !h.router.MaySend(h.now, "w0") {
+			t.Errorf("%s: warm at the response: %v", name, isWarm)
+		}
+		if c.connectsAfter > 0 {
+			h.now += c.connectsAfter
+			h.router.MayQuery(h.now, "w0", 0)
+			h.connectAll()
+		}
+		if c.disconnectsAt > 0 {
+			h.now += c.disconnectsAt
+			h.disconnectAll()
+			h.connectAll()
+		}
+		h.advance(1)
+		if isWarm := h.router.warmUpProgress(w, h.now) >= 1; isWarm != c.isWarmLater {
+			t.Errorf("%s: warm later: %v", name, isWarm)
+		}
+	}
+}
--- a/control/repeat_safety.go
+++ b/control/repeat_safety.go
@@ -65,7 +65,7 @@
 	if req == nil || !req.inFlight || !r.isRepeatSafe(req, req.worker) {
 		return false
 	}
-	req.attemptedBy = req.worker.process
+	req.attemptedBy = r.reachProcess(req.worker)
 	return true
 }
 
--- a/control/replica_selection.go
+++ b/control/replica_selection.go
@@ -112,7 +112,7 @@
 
 // isEligible reports whether req may be attempted on w.
 func (r *Router) isEligible(req *request, w *worker) bool {
-	if w.state != Serving || !r.hasSlowStartCredit(w) {
+	if w.state != Serving || !r.hasSlowStartCredit(w) && !r.mayBeKnownWarm(w) {
 		return false
 	}
 	return r.mayUse(w) && r.isRepeatSafe(req, w)
--- a/control/simulated_front_end_test.go
+++ b/control/simulated_front_end_test.go
@@ -92,6 +92,9 @@
 func (f *simulatedFrontEnd) StartAttempt(id RequestID, workerID WorkerID, timeout units.Seconds) {
 	s, req, worker := f.fleet, f.openRequest(id), f.fleet.workerByID(workerID)
 	f.checkAttempt(req, worker, timeout)
+	if !f.router.MaySend(s.now, workerID) || !f.router.MayExecute(s.now, id) {
+		s.recordViolation("attempt on %s is not permitted at the time of the decision", workerID)
+	}
 	a := &attempt{worker: worker, startedAt: s.now, possiblyExecuted: true}
 	req.attempts = append(req.attempts, a)
 	if startIsKnown := units.Seconds(worker.listedStart[f.index]) == worker.StartedAt; startIsKnown {
@@ -180,6 +183,9 @@
 		s.recordViolation("load command to %s is not allowed", workerID)
 	}
 	f.checkUnreportedDrain("load command", worker)
+	if !f.router.MayLoad(s.now, workerID, fn) {
+		s.recordViolation("load command to %s is not permitted at the time of the decision", workerID)
+	}
 	f.loadTimes = append(f.loadTimes, s.now)
 	inWindow := func(times []units.Seconds) (count float64) {
 		for _, at := range times {
@@ -221,6 +227,9 @@
 	if replicas > 0 {
 		f.checkUnreportedDrain("renewal", worker)
 	}
+	if !f.router.MayQuery(s.now, workerID, replicas) {
+		s.recordViolation("query of %s is not permitted at the time of the decision", workerID)
+	}
 	if f.queryTimes == nil {
 		f.queryTimes = map[WorkerID][]units.Seconds{}
 	}
--- a/control/worker.go
+++ b/control/worker.go
@@ -14,11 +14,7 @@
 	// certainProcess is the process that the earlier connections reach, while it is uncertain whether process is the same one;
 	// nil otherwise.
 	certainProcess *process
-	// disconnectedAt is the time at which the last connection ended, after which another process may have taken over the
-	// worker's address; 0 if discovery has confirmed the list since. reconnectedAt is the time of the first response after
-	// it; 0 before.
-	disconnectedAt, reconnectedAt units.Seconds
-	machine                       *machineStats // nil until the worker is first listed as serving or draining
+	machine        *machineStats // nil until the worker is first listed as serving or draining
 
 	inFlight         []*request // attempts of this front end
 	lastResponseAt   units.Seconds
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -2,15 +2,23 @@
 
 import "streamcleat/internal/units"
 
-// Worker processes: a worker is an entry of the endpoint list, at whose address another process may respond after the last
-// connection has ended. Discovery reports the new process. Until it confirms the list as of a later time, the lease of the
-// worker counts as unconfirmed, and the worker as cold from its first response on.
+// Worker processes: a worker is an entry of the endpoint list, at whose address another process may respond while there is no
+// connection. Discovery reports the new process. During a discovery outage only a connection shows which process responds: one
+// that has been open since discovery last confirmed the list reaches the listed process. Any other worker, connected or not,
+// counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has passed since its first
+// response.
 
 // process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
 // entry in the endpoint list to the next.
 type process struct {
 	group     deduplicationGroup // as listed when the process was first assumed
-	repliedAt units.Seconds      // time of its first response; 0: none
+	assumedAt units.Seconds      // end of the last connection to its predecessor; 0: none was known to end
+	// connectedAt is the time at which the first message was written to a connection to it, or earlier than which it was
+	// connected; 0: none.
+	connectedAt units.Seconds
+	repliedAt   units.Seconds // time of its first response; 0: none
+	aliveAt     units.Seconds // time of its last response; 0: none
+	warmAt      units.Seconds // latest time at which a peer knew the process at the address as warm; 0: none
 	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
 	identified bool
 	// confirmedAs is the same process as it was known before it became uncertain; nil if it was not, or is still so.
@@ -85,7 +93,7 @@
 	if !known || w.certainProcess != nil || !r.hasLeases() {
 		return
 	}
-	w.process, w.certainProcess = &process{group: w.process.group}, w.process
+	w.process, w.certainProcess = &process{group: w.process.group, assumedAt: w.process.assumedAt}, w.process
 }
 
 // OnProcessConfirmed handles the confirmation that all connections to a worker reach the same process.
@@ -95,20 +103,29 @@
 	if !known || w.certainProcess == nil {
 		return
 	}
-	if w.certainProcess.repliedAt == 0 {
-		w.certainProcess.repliedAt = w.process.repliedAt
-	}
+	w.certainProcess.merge(w.process)
 	w.process.confirmedAs = w.certainProcess
 	w.process, w.certainProcess = w.certainProcess, nil
 }
 
+// merge adds the evidence about other, which turned out to be the same process.
+func (p *process) merge(other *process) {
+	if p.repliedAt == 0 {
+		p.repliedAt = other.repliedAt
+	}
+	if p.connectedAt == 0 {
+		p.connectedAt = other.connectedAt
+	}
+	p.aliveAt = max(p.aliveAt, other.aliveAt)
+	p.warmAt = max(p.warmAt, other.warmAt)
+}
+
 // assumeProcessReplaced makes a worker count as unconfirmed and cold, unless the endpoint list shows otherwise.
 func (r *Router) assumeProcessReplaced(w *worker) {
 	if !r.hasLeases() {
 		return
 	}
-	w.process, w.certainProcess = &process{group: w.process.group}, nil
-	w.disconnectedAt, w.reconnectedAt = r.now, 0
+	w.process, w.certainProcess = &process{group: w.process.group, assumedAt: r.now}, nil
 	if !r.isDiscoveryAvailable() {
 		r.restartSlowStart(w)
 	}
@@ -121,36 +138,104 @@
 	if !isReply {
 		return
 	}
-	if sentTo == w.process && sentTo.repliedAt == 0 {
-		sentTo.repliedAt = r.now
+	if sentTo == nil {
+		return
 	}
-	if w.disconnectedAt == 0 || w.reconnectedAt > 0 {
+	sentTo.aliveAt = r.now
+	if sentTo != w.process || sentTo.repliedAt > 0 {
 		return
 	}
-	w.reconnectedAt = r.now
-	if !r.isDiscoveryAvailable() {
+	sentTo.repliedAt = r.now
+	if sentTo.connectedAt == 0 {
+		sentTo.connectedAt = r.now
+	}
+	if !r.isStartKnown(w) {
 		r.restartSlowStart(w)
 	}
 }
 
+// onDiscoveryLost begins the slow start of the workers that may have been replaced since discovery last confirmed the list.
+func (r *Router) onDiscoveryLost() {
+	for _, w := range r.workers {
+		if !r.isStartKnown(w) {
+			r.restartSlowStart(w)
+		}
+	}
+}
+
 // restartSlowStart resets the slow start credits of w to those of a process that just started.
 func (r *Router) restartSlowStart(w *worker) {
 	w.usedCredits, w.grantedCredits = 0, r.random.fraction()
 }
 
-// mayBeReplacedProcess reports whether the process at the address of w may not be the one that discovery reported.
-func (r *Router) mayBeReplacedProcess(w *worker) bool {
-	return w.disconnectedAt > 0 && !r.isDiscoveryAvailable()
+// warmingProcess returns the process whose warm-up limits the attempts on w.
+func (w *worker) warmingProcess() *process {
+	if w.certainProcess != nil {
+		return w.certainProcess
+	}
+	return w.process
+}
+
+// isStartKnown reports whether the process at the address of w is known to have started when the endpoint list says.
+func (r *Router) isStartKnown(w *worker) bool {
+	p := w.warmingProcess()
+	return r.isDiscoveryAvailable() || p.identified || r.isKnownWarm(p)
+}
+
+// isKnownWarm reports whether a peer knew the process at the address of p as warm, while p was connected or within a lease
+// before. A lease is shorter than the time in which a process is replaced.
+func (r *Router) isKnownWarm(p *process) bool {
+	connectedAt := p.connectedAt
+	if connectedAt == 0 {
+		connectedAt = r.now
+	}
+	return p.warmAt > 0 && connectedAt < p.warmAt+r.leaseDuration()
+}
+
+// reachProcess returns the process that a message which is written to w now reaches.
+func (r *Router) reachProcess(w *worker) *process {
+	if w.process.connectedAt == 0 {
+		w.process.connectedAt = r.now
+	}
+	return w.process
+}
+
+// recordWarm records that a peer knew the process at the address of w as warm at a time.
+func (w *worker) recordWarm(at units.Seconds) {
+	w.process.warmAt = max(w.process.warmAt, at)
+	if w.certainProcess != nil {
+		w.certainProcess.warmAt = max(w.certainProcess.warmAt, at)
+	}
+}
+
+// lastWarmAt returns the latest time at which the process at the address of w is known to have been warm; 0 if there is none.
+func (r *Router) lastWarmAt(w *worker) units.Seconds {
+	p := w.warmingProcess()
+	switch {
+	case r.warmUpProgress(w, r.now) < 1:
+		return 0
+	case !r.isDiscoveryAvailable():
+		return p.aliveAt
+	case p.identified:
+		return max(p.aliveAt, r.discovery.confirmedAt)
+	default:
+		return r.discovery.confirmedAt
+	}
+}
+
+// mayBeKnownWarm reports whether a peer may soon report w, to which nothing is sent before that, as warm.
+func (r *Router) mayBeKnownWarm(w *worker) bool {
+	return !r.isStartKnown(w) && !r.holdsLease(w) && (r.awaitsConfirmations() || r.mayRequestConfirmations())
 }
 
 // coldSince returns the latest time at which the process at the address of w may have started; 0 if it is long past.
 func (r *Router) coldSince(w *worker) units.Seconds {
 	switch {
-	case !r.mayBeReplacedProcess(w):
+	case r.isStartKnown(w):
 		return w.startedAt
-	case w.reconnectedAt == 0:
+	case w.warmingProcess().repliedAt == 0:
 		return r.now
 	default:
-		return w.reconnectedAt
+		return w.warmingProcess().repliedAt
 	}
 }
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -32,31 +34,40 @@
 	}
 }
 
-// A worker may be replaced at its address after the last update and before the discovery outage is detected. The
-// disconnection takes effect once discovery is unavailable, unless discovery confirmed the list after it. The process may have
-// started as late as its first response.
-func TestLease_DisconnectionBeforeOutageIsDetected(t *testing.T) {
-	for name, confirmedAfter := range map[string]bool{"later update": true, "no later update": false} {
-		h := newLeaseHost()
+// Without a connection that was open when discovery last confirmed the list, a worker may have been replaced at its address
+// before or during the outage. The process may have started as late as its first response.
+func TestLease_WorkerWithoutConnectionMayBeAnotherProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		steps  string
+		isCold bool
+	}{
+		"connected":                  {"", false},
+		"disconnected":               {"disconnect", true},
+		"disconnected, later update": {"disconnect list", true},
+		"disconnected, later update and response":     {"disconnect list reply", true},
+		"disconnected, later response and update":     {"disconnect reply list", false},
+		"removed and listed again":                    {"remove return list", true},
+		"removed, listed again, response and update":  {"remove return reply list", false},
+		"another connection, not yet verified":        {"uncertain", false},
+		"disconnected, another one, not yet verified": {"disconnect list reply uncertain", true},
+	} {
+		h := newKeyedHost()
+		h.play(c.steps)
 		w := h.router.workersByID[h.home]
-		h.now += 0.1
-		h.router.OnDisconnected(h.now, h.home)
 		if h.router.warmUpProgress(w, h.now) < 1 {
 			t.Errorf("%s: cold while discovery is available", name)
 		}
-		if confirmedAfter {
-			h.router.OnDiscoveryAvailable(h.now+0.1, h.now+0.1)
-		}
-		h.router.OnDiscoveryUnavailable(h.now + 0.1)
+		h.play("outage")
 		h.advance(2)
-		if isCold := h.router.warmUpProgress(w, h.now) < 1; isCold == confirmedAfter {
+		if isCold := h.router.warmUpProgress(w, h.now) < 1; isCold != c.isCold {
 			t.Errorf("%s: cold %v", name, isCold)
 		}
-		h.router.onReply(w, w.process, Succeeded)
-		wantsInitial := !confirmedAfter
-		isInitial := h.router.warmUpProgress(w, h.now) == h.router.deployment.InitialCapacityFraction
-		if isInitial != wantsInitial {
-			t.Errorf("%s: has the capacity of a process that just started: %v", name, isInitial)
+		if !c.isCold {
+			continue
+		}
+		h.play("disconnect reply")
+		if progress := h.router.warmUpProgress(w, h.now-0.01); progress != h.router.deployment.InitialCapacityFraction {
+			t.Errorf("%s: has %v of its capacity at its first response", name, progress)
 		}
 		h.advance(h.router.deployment.WarmUpTime)
 		if h.router.warmUpProgress(w, h.now) < 1 {
@@ -64,3 +75,90 @@
 		}
 	}
 }
+
+// Guards against a cold worker that was pushed over in a discovery outage: it had died and returned at its address, and a front
+// end without a connection to it took it for the warm process that was listed. The front end queried it, ordered a replica and
+// sent it every request. The first attempts must be within the budget of a process that starts with the outage.
+func TestSlowStart_UnconnectedWorkerInOutage(t *testing.T) {
+	for name, connect := range map[string]func(h *leaseHost){
+		"warm, used before the last list":   func(h *leaseHost) { h.connectAll(); h.confirmList() },
+		"never used":                        func(*leaseHost) {},
+		"used and idle before the outage":   func(h *leaseHost) { h.connectAll(); h.disconnectAll(); h.confirmList() },
+		"disconnected after the last list":  func(h *leaseHost) { h.connectAll(); h.confirmList(); h.disconnectAll() },
+		"listed anew, not used since":       func(h *leaseHost) { h.connectAll(); h.listAgain(); h.confirmList() },
+		"first used after the last list":    func(h *leaseHost) { h.confirmList(); h.connectAll() },
+		"suspended since before the outage": func(h *leaseHost) { h.now += 60 },
+	} {
+		h := newUnconnectedHost()
+		connect(h)
+		h.router.OnDiscoveryUnavailable(h.now)
+		h.advance(testDrainGrace)
+		h.clear()
+		const requests = 40
+		for i := range requests {
+			h.request(RequestID(fmt.Sprint(name, i)))
+			h.respondToAll()
+			h.advance(0.02)
+		}
+		h.advance(tickSeconds)
+		// The rate that the front end has seen on warm workers is 0, so that it has one credit in a window at most.
+		isWithinBudget := len(h.attempts) <= 2
+		if isWarm := strings.HasPrefix(name, "warm"); isWithinBudget == isWarm {
+			t.Errorf("%s: %d attempts of %d requests", name, len(h.attempts), requests)
+		}
+	}
+}
+
+// newUnconnectedHost returns the host of a router without peers that has not used its workers. It knows that draining workers
+// reject queries.
+func newUnconnectedHost() *leaseHost {
+	h := &leaseHost{now: 100}
+	deployment := basicDeployment()
+	deployment.EndpointLeases, deployment.DrainGrace = true, testDrainGrace
+	h.router = New(deployment, 1, h, h.now)
+	h.router.Start()
+	h.listAgain()
+	h.confirmList()
+	h.router.queriesShowDrains = true
+	return h
+}
+
+// listAgain sends the router a list of one worker.
+func (h *leaseHost) listAgain() {
+	h.router.OnEndpointUpdate(h.now, Snapshot, []Worker{{ID: "w0", Weight: 1}})
+}
+
+// confirmList confirms the list a little later.
+func (h *leaseHost) confirmList() {
+	h.now += 0.01
+	h.router.OnDiscoveryAvailable(h.now, h.now)
+}
+
+// connectAll reports a response of each worker a little later.
+func (h *leaseHost) connectAll() {
+	h.now += 0.01
+	for _, w := range h.router.workers {
+		h.router.onReply(w, w.process, Succeeded)
+	}
+}
+
+// disconnectAll reports the end of all connections a little later.
+func (h *leaseHost) disconnectAll() {
+	h.now += 0.01
+	for _, w := range h.router.workers {
+		h.router.OnDisconnected(h.now, w.id)
+	}
+}
+
+// respondToAll reports that the pending queries and load commands have succeeded.
+func (h *leaseHost) respondToAll() {
+	for _, w := range h.router.workers {
+		if w.lease.queryPending {
+			h.respondToQuery(w.id, Succeeded, 0)
+		}
+	}
+	if len(h.loads) > 0 {
+		h.loads = nil
+		h.loaded("w0")
+	}
+}
