Simulated fleets: workers that die and return cold in an outage, at front ends without a connection

Change: front ends of the simulated fleet are connected to what they use, and learn of the end. The new generator (one outage, 3 to 8 workers) has workers that terminate and return cold after 2.5 to 7.5 s, drains that reject queries, idle connections that are closed, restarts, and a function in use that changes, with rates of 5 to 80 a second.

--- /dev/null
+++ b/control/outage_replacement_test.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"math/rand"
+	"strconv"
+	"testing"
+	"testing/quick"
+
+	"streamcleat/internal/units"
+)
+
+// With random discovery outages, in which workers terminate and return cold at their addresses without a report, no worker is
+// pushed over while it warms up. Front ends begin an outage with connections to some workers only: functions come into use and
+// go out of it, and idle connections are closed.
+func TestRouter_ColdWorkersDuringOutages(t *testing.T) {
+	holds := func(seed int64) bool {
+		fleet := runRandomReplacements(seed)
+		if fleet.violation != "" {
+			t.Logf("seed %d: %s", seed, fleet.violation)
+		}
+		return fleet.violation == ""
+	}
+	if err := quick.Check(holds, &quick.Config{MaxCount: 150, Rand: rand.New(rand.NewSource(3))}); err != nil {
+		t.Error(err)
+	}
+}
+
+// replacementRun is a simulated fleet whose workers terminate and return cold during discovery outages.
+type replacementRun struct {
+	*simulatedFleet
+	rnd       *rand.Rand
+	requests  int
+	function  FunctionID // in use
+	rate      float64    // requests per second for it, to all front ends together
+	outageEnd int        // step
+}
+
+// runRandomReplacements simulates one outage after a time of use.
+func runRandomReplacements(seed int64) *simulatedFleet {
+	const steps, outageStart = 4000, 600
+	rnd := rand.New(rand.NewSource(seed))
+	deployment := basicDeployment()
+	deployment.FrontEnds, deployment.GossipAllowed = 1+rnd.Intn(4), rnd.Intn(2) == 0
+	deployment.NoLoadOnMiss = rnd.Intn(2) == 0
+	deployment.EndpointLeases, deployment.DrainGrace = true, units.Seconds(0.5+rnd.Float64()*1.5)
+	run := &replacementRun{simulatedFleet: newSimulatedFleet(seed, deployment, 3+rnd.Intn(6)), rnd: rnd}
+	run.toleratesVariation = true
+	run.sendHeartbeats()
+	run.useAnotherFunction()
+	run.outageEnd = outageStart + 800 + rnd.Intn(2000)
+	for step := range steps {
+		run.advance(stepSeconds)
+		switch {
+		case step == outageStart:
+			run.beginOutage()
+		case step == run.outageEnd:
+			run.endOutage()
+		case !run.discoveryDown && step%100 == 0:
+			run.sendHeartbeats()
+		}
+		run.step(step)
+	}
+	return run.simulatedFleet
+}
+
+// step sends requests and injects faults, with probabilities for each hundredth of a second.
+func (r *replacementRun) step(step int) {
+	worker := r.workers[r.rnd.Intn(len(r.workers))]
+	f := r.frontEnds[r.rnd.Intn(len(r.frontEnds))]
+	if r.rnd.Float64() < r.rate*stepSeconds {
+		r.requests++
+		f.sendRequest(RequestID(strconv.Itoa(r.requests)), r.function, r.deployment.RequestClasses[0], 3)
+	}
+	switch {
+	case r.rnd.Intn(300) == 0:
+		r.useAnotherFunction()
+	case r.rnd.Intn(200) == 0:
+		f.disconnect(worker) // idle
+	case r.discoveryDown && r.rnd.Intn(250) == 0 && worker.condition == healthy && step < r.outageEnd:
+		r.terminateForAWhile(worker)
+	case r.discoveryDown && r.rnd.Intn(400) == 0 && worker.State == Serving:
+		worker.State, worker.drainedAt, worker.sendsAfterGrace = Draining, r.now, map[int]int{}
+	case r.discoveryDown && r.rnd.Intn(1500) == 0:
+		f.restart(uint64(step))
+	}
+}
+
+// useAnotherFunction makes another function be the one that is requested, at another rate.
+func (r *replacementRun) useAnotherFunction() {
+	r.function, r.rate = FunctionID(strconv.Itoa(r.rnd.Intn(12))), 5+r.rnd.Float64()*75
+}
+
+// terminateForAWhile terminates a worker, which returns cold after some seconds.
+func (r *replacementRun) terminateForAWhile(worker *simulatedWorker) {
+	r.terminate(worker)
+	r.after(units.Seconds(2.5+r.rnd.Float64()*5), func() { r.returnCold(worker) })
+}
--- a/control/simulated_fleet_test.go
+++ b/control/simulated_fleet_test.go
@@ -21,6 +21,8 @@
 	violation  string
 
 	discoveryDown             bool // discovery is unavailable
+	outageStartedAt           units.Seconds
+	toleratesVariation        bool // checks of reported cold workers have the tolerance of the platform's rules, otherwise none
 	drainingRespondsToQueries bool // draining workers accept queries instead of rejecting them
 }
 
