Slow start in outages: a list also shows a process that was connected a lease later

Cause: with a process counted as the listed one only if it had responded by the time of which discovery confirmed the list.

Change: the list and the statement of a peer are one kind of evidence, process.startKnownAt: at that time it was known when the process at the address had started. A load command that waited for the lease of a worker is dropped if that has no slow start credit then; the requests behind it can go elsewhere, where before they waited for a load that could not serve them.

--- a/control/lease_renewal.go
+++ b/control/lease_renewal.go
@@ -258,10 +258,12 @@
 	}
 }
 
-// resumeLoad sends the load command for one function that waited for the lease of w, or drops it.
+// resumeLoad sends the load command for one function that waited for the lease of w, or drops it. It is dropped too if w is
+// known to serve, but may be cold and have no capacity for the requests that wait for the load.
 func (r *Router) resumeLoad(fn *function, w *worker) {
 	fn.loadAwaitsLease = false
-	if r.holdsLease(w) && !r.isWarm(fn.replicaOn(w)) && r.mayCommandLoad() {
+	isUsable := r.holdsLease(w) && r.hasSlowStartCredit(w)
+	if isUsable && !r.isWarm(fn.replicaOn(w)) && r.mayCommandLoad() {
 		r.sendLoadCommand(fn, w)
 	} else {
 		r.clearPendingLoad(fn)
--- a/control/peer_confirmations.go
+++ b/control/peer_confirmations.go
@@ -218,6 +218,6 @@
 	}
 	w.recordAcceptance(acceptedAt)
 	if kind == warmConfirmationResponseKind {
-		w.recordWarm(acceptedAt)
+		w.recordStartKnown(acceptedAt)
 	}
 }
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -4,9 +4,9 @@
 
 // Worker processes: a worker is an entry of the endpoint list, at whose address another process may respond while there is no
 // connection. Discovery reports the new process. During a discovery outage only a connection shows which process responds: one
-// that has been open since discovery last confirmed the list reaches the listed process. Any other worker, connected or not,
-// counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has passed since its first
-// response.
+// that was open when discovery last confirmed the list, or a lease later at the latest, reaches the listed process. Any other
+// worker, connected or not, counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has
+// passed since its first response.
 
 // process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
 // entry in the endpoint list to the next.
@@ -18,7 +18,9 @@
 	connectedAt units.Seconds
 	repliedAt   units.Seconds // time of its first response; 0: none
 	aliveAt     units.Seconds // time of its last response; 0: none
-	warmAt      units.Seconds // latest time at which a peer knew the process at the address as warm; 0: none
+	// startKnownAt is the latest time at which it was known when the process at the address had started: as the endpoint list
+	// says, or so long ago that it is warm, according to a peer; 0: none.
+	startKnownAt units.Seconds
 	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
 	identified bool
 	// confirmedAs is the same process as it was known before it became uncertain; nil if it was not, or is still so.
@@ -47,6 +49,7 @@
 	if w.state == Removed {
 		return
 	}
+	w.recordStartKnown(asOf)
 	w.process.identify(asOf)
 	if w.certainProcess != nil {
 		w.certainProcess.identify(asOf)
@@ -117,7 +120,7 @@
 		p.connectedAt = other.connectedAt
 	}
 	p.aliveAt = max(p.aliveAt, other.aliveAt)
-	p.warmAt = max(p.warmAt, other.warmAt)
+	p.startKnownAt = max(p.startKnownAt, other.startKnownAt)
 }
 
 // assumeProcessReplaced makes a worker count as unconfirmed and cold, unless the endpoint list shows otherwise.
@@ -179,17 +182,17 @@
 // isStartKnown reports whether the process at the address of w is known to have started when the endpoint list says.
 func (r *Router) isStartKnown(w *worker) bool {
 	p := w.warmingProcess()
-	return r.isDiscoveryAvailable() || p.identified || r.isKnownWarm(p)
+	return r.isDiscoveryAvailable() || p.identified || r.wasStartKnown(p)
 }
 
-// isKnownWarm reports whether a peer knew the process at the address of p as warm, while p was connected or within a lease
-// before. A lease is shorter than the time in which a process is replaced.
-func (r *Router) isKnownWarm(p *process) bool {
+// wasStartKnown reports whether the start of p was known while p was connected or within a lease before. A lease is shorter than
+// the time in which a process is replaced.
+func (r *Router) wasStartKnown(p *process) bool {
 	connectedAt := p.connectedAt
 	if connectedAt == 0 {
 		connectedAt = r.now
 	}
-	return p.warmAt > 0 && connectedAt < p.warmAt+r.leaseDuration()
+	return p.startKnownAt > 0 && connectedAt < p.startKnownAt+r.leaseDuration()
 }
 
 // reachProcess returns the process that a message which is written to w now reaches.
@@ -200,11 +203,14 @@
 	return w.process
 }
 
-// recordWarm records that a peer knew the process at the address of w as warm at a time.
-func (w *worker) recordWarm(at units.Seconds) {
-	w.process.warmAt = max(w.process.warmAt, at)
+// recordStartKnown records that the start of the process at the address of w was known at a time.
+func (w *worker) recordStartKnown(at units.Seconds) {
+	if at < w.process.assumedAt {
+		return // it was that of a predecessor
+	}
+	w.process.startKnownAt = max(w.process.startKnownAt, at)
 	if w.certainProcess != nil {
-		w.certainProcess.warmAt = max(w.certainProcess.warmAt, at)
+		w.certainProcess.startKnownAt = max(w.certainProcess.startKnownAt, at)
 	}
 }
 
