In an outage, a worker whose later connection may reach a successor counts as possibly cold

What callers would see: a machine vanishes in an outage and leaves its connection open and silent; a cold process takes the address. A request waits on the silent connection, the next ones go out on a second one, to the cold process, at the full rate of a warm one.

The slow start went on with the process that the first connection reaches.

Change: the slow start counts for the process that messages reach now. So that a second connection costs a worker that is well nothing but a round trip, the pool pings the earlier connections (command 50 of the protocol) where the router wants it, which is in outages only. Any frame on an earlier connection verifies the later ones, as before. The soak's workers answer pings.

Not played on sockets with a machine that vanishes.

--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -89,14 +89,20 @@
 }
 
 // OnProcessUncertain handles a connection to a worker that was established beside others. Until they are known to reach the
-// same process, messages to the worker may reach either.
-func (r *Router) OnProcessUncertain(now units.Seconds, id WorkerID) {
+// same process, messages to the worker may reach either. It reports whether that is to be found out at once, because the worker
+// counts as possibly cold until then.
+func (r *Router) OnProcessUncertain(now units.Seconds, id WorkerID) (verify bool) {
 	r.advance(now)
 	w, known := r.workersByID[id]
 	if !known || w.certainProcess != nil || !r.hasLeases() {
-		return
+		return false
 	}
 	w.process, w.certainProcess = &process{group: w.process.group, assumedAt: w.process.assumedAt}, w.process
+	if r.isStartKnown(w) {
+		return false
+	}
+	r.restartSlowStart(w)
+	return true
 }
 
 // OnProcessConfirmed handles the confirmation that all connections to a worker reach the same process.
@@ -171,17 +177,9 @@
 	w.usedCredits, w.grantedCredits = 0, r.random.fraction()
 }
 
-// warmingProcess returns the process whose warm-up limits the attempts on w.
-func (w *worker) warmingProcess() *process {
-	if w.certainProcess != nil {
-		return w.certainProcess
-	}
-	return w.process
-}
-
 // isStartKnown reports whether the process at the address of w is known to have started when the endpoint list says.
 func (r *Router) isStartKnown(w *worker) bool {
-	p := w.warmingProcess()
+	p := w.process
 	return r.isDiscoveryAvailable() || p.identified || r.wasStartKnown(p)
 }
 
@@ -216,7 +214,7 @@
 
 // lastWarmAt returns the latest time at which the process at the address of w is known to have been warm; 0 if there is none.
 func (r *Router) lastWarmAt(w *worker) units.Seconds {
-	p := w.warmingProcess()
+	p := w.process
 	switch {
 	case r.warmUpProgress(w, r.now) < 1:
 		return 0
@@ -239,9 +237,9 @@
 	switch {
 	case r.isStartKnown(w):
 		return w.startedAt
-	case w.warmingProcess().repliedAt == 0:
+	case w.process.repliedAt == 0:
 		return r.now
 	default:
-		return w.warmingProcess().repliedAt
+		return w.process.repliedAt
 	}
 }
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -49,8 +49,10 @@
 		"disconnected, later response and update":     {"disconnect reply list", false},
 		"removed and listed again":                    {"remove return list", true},
 		"removed, listed again, response and update":  {"remove return reply list", false},
-		"another connection, not yet verified":        {"uncertain", false},
+		"another connection, not yet verified":        {"uncertain", true},
+		"another connection, verified":                {"uncertain confirmed", false},
 		"disconnected, another one, not yet verified": {"disconnect list wait reply uncertain", true},
+		"disconnected, another one, verified":         {"disconnect list wait reply uncertain confirmed", true},
 	} {
 		h := newKeyedHost()
 		h.play(c.steps)
@@ -111,6 +113,38 @@
 	}
 }
 
+// Guards against a cold worker that is pushed over behind a second connection: a machine that vanishes leaves the first one open and
+// silent, and the second one reaches the process that has taken the address. Until the first one is known to be alive, attempts
+// are within the budget of a process that has just started.
+func TestSlowStart_LaterConnectionInOutage(t *testing.T) {
+	for name, c := range map[string]struct{ isAvailable, isConfirmed bool }{
+		"outage, not verified": {}, "outage, verified": {isConfirmed: true}, "discovery is available": {isAvailable: true},
+	} {
+		h := newUnconnectedHost()
+		h.connectAll()
+		h.confirmList()
+		if !c.isAvailable {
+			h.router.OnDiscoveryUnavailable(h.now)
+			h.advance(testDrainGrace)
+		}
+		if verify := h.router.OnProcessUncertain(h.now, "w0"); verify == c.isAvailable {
+			t.Errorf("%s: to be verified: %v", name, verify)
+		}
+		if c.isConfirmed {
+			h.router.OnProcessConfirmed(h.now, "w0")
+		}
+		h.clear()
+		for i := range 40 {
+			h.request(RequestID(fmt.Sprint(name, i)))
+			h.respondToAll()
+			h.now += 0.02
+		}
+		if isLimited := len(h.attempts) <= 2; isLimited == (c.isConfirmed || c.isAvailable) {
+			t.Errorf("%s: %d attempts", name, len(h.attempts))
+		}
+	}
+}
+
 // newUnconnectedHost returns the host of a router without peers that has not used its workers. It knows that draining workers
 // reject queries.
 func newUnconnectedHost() *leaseHost {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -164,10 +164,11 @@
 	d.router.OnDisconnected(d.now, worker)
 }
 
-// OnProcessUncertain records that a new connection to a worker may reach another process than the earlier ones.
-func (d *Dispatcher) OnProcessUncertain(now units.Seconds, worker control.WorkerID) {
+// OnProcessUncertain records that a new connection to a worker may reach another process than the earlier ones. It reports
+// whether that is to be found out at once.
+func (d *Dispatcher) OnProcessUncertain(now units.Seconds, worker control.WorkerID) (verify bool) {
 	d.advance(now)
-	d.router.OnProcessUncertain(d.now, worker)
+	return d.router.OnProcessUncertain(d.now, worker)
 }
 
 // OnProcessConfirmed records that all connections to a worker reach the same process.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -74,8 +74,8 @@
 }
 
 // OnProcessUncertain implements upstream.ExchangeHandler.
-func (h exchangeHandler) OnProcessUncertain(worker control.WorkerID) {
-	h.proxy.dispatcher.OnProcessUncertain(h.proxy.host.Now(), worker)
+func (h exchangeHandler) OnProcessUncertain(worker control.WorkerID) (verify bool) {
+	return h.proxy.dispatcher.OnProcessUncertain(h.proxy.host.Now(), worker)
 }
 
 // OnProcessConfirmed implements upstream.ExchangeHandler.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,8 +24,9 @@
 	// reach the process at which the earlier ones were made. From then on, another process may listen at its address.
 	OnDisconnected(worker control.WorkerID)
 	// OnProcessUncertain reports that a connection to a worker was established beside others. It reaches another process than
-	// they do if theirs has ended without closing them. OnProcessConfirmed or OnDisconnected follows.
-	OnProcessUncertain(worker control.WorkerID)
+	// they do if theirs has ended without closing them. OnProcessConfirmed or OnDisconnected follows. The result tells whether
+	// the pool is to find out at once, with a message of its own on the earlier connections.
+	OnProcessUncertain(worker control.WorkerID) (verify bool)
 	// OnProcessConfirmed reports that all connections to a worker reach the same process: an earlier one has received a message
 	// since the later ones were established.
 	OnProcessConfirmed(worker control.WorkerID)
--- a/internal/upstream/frames/benchmark_test.go
+++ b/internal/upstream/frames/benchmark_test.go
@@ -24,7 +24,7 @@
 
 func (discard) AuthorizeLoad(uint64) dispatch.SendPermit { return dispatch.PermitSend(defaultTimeLeft) }
 func (discard) OnDisconnected(control.WorkerID)          {}
-func (discard) OnProcessUncertain(control.WorkerID)      {}
+func (discard) OnProcessUncertain(control.WorkerID) bool { return false }
 func (discard) OnProcessConfirmed(control.WorkerID)      {}
 
 func (discard) OnLoadReply(uint64, control.Outcome, int) {}
--- a/internal/upstream/frames/codec.go
+++ b/internal/upstream/frames/codec.go
@@ -36,6 +36,7 @@
 const (
 	commandAttempt command = 48
 	commandCancel  command = 49
+	commandPing    command = 50 // is answered under the same ID, whatever the worker does otherwise
 	commandLoad    command = 52
 	commandUnload  command = 54
 )
--- a/internal/upstream/frames/fixture_test.go
+++ b/internal/upstream/frames/fixture_test.go
@@ -23,6 +23,7 @@
 	closed       []upstream.ConnID
 	unsent       map[upstream.ConnID]int
 	disconnected []control.WorkerID
+	verifies     bool     // processes behind later connections are to be verified at once
 	processes    []string // what was reported of a worker's process, in order
 	reported     []string
 	bodies       []string
@@ -57,8 +58,9 @@
 	fixture.processes = append(fixture.processes, "disconnected")
 }
 
-func (fixture *poolFixture) OnProcessUncertain(control.WorkerID) {
+func (fixture *poolFixture) OnProcessUncertain(control.WorkerID) (verify bool) {
 	fixture.processes = append(fixture.processes, "uncertain")
+	return fixture.verifies
 }
 
 func (fixture *poolFixture) OnProcessConfirmed(control.WorkerID) {
--- a/internal/upstream/frames/receive.go
+++ b/internal/upstream/frames/receive.go
@@ -124,12 +124,23 @@
 }
 
 // verifyEstablished verifies a connection that was just established if there is no other to its worker. Beside others it is
-// uncertain which process it reaches, until one of them receives a message.
+// uncertain which process it reaches, until one of them receives a message, for which they are pinged if the handler wants it.
 func (p *Pool) verifyEstablished(c *connection) {
 	c.verified = !p.hasVerified(c.Worker)
 	if !c.verified {
 		p.uncertain[c.Worker] = true
-		p.handler.OnProcessUncertain(c.Worker)
+		if p.handler.OnProcessUncertain(c.Worker) {
+			p.pingVerified(c.Worker)
+		}
+	}
+}
+
+// pingVerified sends a ping on the verified connections to a worker. The replies belong to no exchange.
+func (p *Pool) pingVerified(worker control.WorkerID) {
+	for _, c := range p.Connections.ForWorker(worker) {
+		if c.Established && c.verified && !c.draining {
+			p.transport.Write(c.ID, encodeFrame(commandPing, p.nextLoadWireID(), "", nil))
+		}
 	}
 }
 
--- a/internal/upstream/frames/send.go
+++ b/internal/upstream/frames/send.go
@@ -70,13 +70,18 @@
 		p.sendUnload(now, command)
 		return
 	}
-	p.lastLoadWireID++
-	id := p.lastLoadWireID | loadWireIDBit
+	id := p.nextLoadWireID()
 	fields := fieldFunction + "=" + command.Function + "," + fieldReplicas + "=" + strconv.Itoa(command.Replicas)
 	encode := func(dispatch.SendPermit) []byte { return encodeFrame(commandLoad, id, fields, nil) }
 	p.send(now, &exchange{Exchange: upstream.Exchange{ID: command.ID, Worker: command.Worker, IsLoad: true, Encode: encode}, wireID: id})
 }
 
+// nextLoadWireID returns a wire ID that no request and no other load command has.
+func (p *Pool) nextLoadWireID() uint64 {
+	p.lastLoadWireID++
+	return p.lastLoadWireID | loadWireIDBit
+}
+
 func (p *Pool) sendUnload(now units.Seconds, command dispatch.LoadCommand) {
 	c := p.connectionFor(now, command.Worker, 0)
 	function, err := hexid.Parse(command.Function)
--- a/internal/upstream/frames/worker_process_test.go
+++ b/internal/upstream/frames/worker_process_test.go
@@ -67,6 +67,28 @@
 	}
 }
 
+// Guards against a cold successor that is taken for the warm process that it followed for as long as the connections to that are
+// silent: they are pinged where the handler wants it. The reply belongs to no exchange.
+func TestOnDialed_PingsEarlierConnection(t *testing.T) {
+	const replyPong replyCode = 70
+	for _, verifies := range []bool{false, true} {
+		fixture := newPoolFixture(t, 2, 1)
+		fixture.verifies = verifies
+		fixture.sendAttempt(1, "a")
+		fixture.pool.OnDialed(0, 1, nil)
+		fixture.sendAttempt(2, "a")
+		fixture.pool.OnDialed(0, 2, nil)
+		if pinged := slices.Contains(fixture.commands(1), commandPing); pinged != verifies || slices.Contains(fixture.commands(2), commandPing) {
+			t.Errorf("verifies %v: sent %v and, on the later connection, %v", verifies, fixture.commands(1), fixture.commands(2))
+		}
+		fixture.pool.OnData(0, 1, encodeReply(replyPong, fixture.pool.lastLoadWireID|loadWireIDBit, "", ""))
+		if want := []string{"uncertain", "confirmed"}; !slices.Equal(fixture.processes, want) {
+			t.Errorf("verifies %v: reported %v, want %v", verifies, fixture.processes, want)
+		}
+		fixture.expectReports()
+	}
+}
+
 // Whichever side closes a worker's last connection, its end is reported: another process may have the worker's address when
 // the next connection is dialed.
 func TestDisconnection_ReportedIfClosedByPool(t *testing.T) {
--- a/internal/upstream/openinference/pool_test.go
+++ b/internal/upstream/openinference/pool_test.go
@@ -48,9 +48,9 @@
 	return dispatch.PermitSend(defaultTimeLeft)
 }
 
-func (*poolFixture) OnDisconnected(control.WorkerID)     {}
-func (*poolFixture) OnProcessUncertain(control.WorkerID) {}
-func (*poolFixture) OnProcessConfirmed(control.WorkerID) {}
+func (*poolFixture) OnDisconnected(control.WorkerID)          {}
+func (*poolFixture) OnProcessUncertain(control.WorkerID) bool { return false }
+func (*poolFixture) OnProcessConfirmed(control.WorkerID)      {}
 
 func (*poolFixture) AuthorizeLoad(uint64) dispatch.SendPermit {
 	return dispatch.PermitSend(defaultTimeLeft)
@@ -310,9 +310,9 @@
 func (noopHandler) AuthorizeLoad(uint64) dispatch.SendPermit {
 	return dispatch.PermitSend(defaultTimeLeft)
 }
-func (noopHandler) OnDisconnected(control.WorkerID)     {}
-func (noopHandler) OnProcessUncertain(control.WorkerID) {}
-func (noopHandler) OnProcessConfirmed(control.WorkerID) {}
+func (noopHandler) OnDisconnected(control.WorkerID)          {}
+func (noopHandler) OnProcessUncertain(control.WorkerID) bool { return false }
+func (noopHandler) OnProcessConfirmed(control.WorkerID)      {}
 
 func (noopHandler) OnLoadReply(uint64, control.Outcome, int) {}
 
--- a/internal/verification/goldentest/workers.go
+++ b/internal/verification/goldentest/workers.go
@@ -73,7 +73,7 @@
 func (*FakeWorkers) OnDisconnected(control.WorkerID) {}
 
 // OnProcessUncertain implements upstream.ExchangeHandler.
-func (*FakeWorkers) OnProcessUncertain(control.WorkerID) {}
+func (*FakeWorkers) OnProcessUncertain(control.WorkerID) (verify bool) { return false }
 
 // OnProcessConfirmed implements upstream.ExchangeHandler.
 func (*FakeWorkers) OnProcessConfirmed(control.WorkerID) {}
--- a/internal/verification/soak/frames.go
+++ b/internal/verification/soak/frames.go
@@ -19,6 +19,7 @@
 
 	commandAttempt = 48
 	commandCancel  = 49
+	commandPing    = 50
 	commandLoad    = 52
 	commandUnload  = 54
 
@@ -26,6 +27,7 @@
 	replyNotLoaded = 66
 	replyRejected  = 67
 	replyFailed    = 68
+	replyPong      = 70
 )
 
 // workerFrame is a frame that a front end sent to a worker.
--- a/internal/verification/soak/worker.go
+++ b/internal/verification/soak/worker.go
@@ -169,6 +169,8 @@
 		c.onAttempt(frame)
 	case commandCancel:
 		c.end(frame.id)
+	case commandPing:
+		_, _ = c.conn.Write(encodeReply(replyPong, frame.id, "", nil)) // the front end may have closed the connection
 	case commandLoad:
 		go c.load(frame)
 	case commandUnload:
