Move the parser of IDs beside units, below the protocol packages that import it

internal/upstream/frames and internal/downstream/frames imported internal/platform/hexid, a package under a layer above them. It has no dependencies and is internal/hexid now; no code changes. The tests of both packages and the architecture test pass.

--- a/internal/upstream/frames/send.go
+++ b/internal/upstream/frames/send.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"streamcleat/internal/dispatch"
-	"streamcleat/internal/platform/hexid"
+	"streamcleat/internal/hexid"
 	"streamcleat/internal/units"
 	"streamcleat/internal/upstream"
 )
