Workers of an expired polled list count as possibly cold unless they were used for the warm-up time

Cause: where a list is polled and its host reports no confirmations (simadapter), every listed process counted as identified, also once the list had expired because no poll succeeded (PollLease). So a worker that was never used had no slow start then.

Change: a process is identified from the start only where the list can't expire. A process that was used for longer than the warm-up time stays warm by its age.

Evidence: TestSlowStart_ExpiredPolledList fails before for the worker that was not used. The golden transcripts of control and the tests of simadapter pass unchanged.

--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -35,12 +35,12 @@
 	return p
 }
 
-// newListedProcess returns the process that an entry of the endpoint list describes. Where the host reports confirmations of
-// the list, the process is identified only once the list was confirmed after the process had responded. Before that, messages
-// may reach another process at its address.
+// newListedProcess returns the process that an entry of the endpoint list describes. Where the list may expire, the process is
+// identified only once the list was confirmed after the process had responded. Before that, messages may reach another process at
+// its address.
 func (r *Router) newListedProcess(endpoint Worker) *process {
 	group := deduplicationGroup{zone: endpoint.Zone, failureDomain: endpoint.FailureDomain}
-	return &process{group: group, identified: !r.deployment.EndpointLeases}
+	return &process{group: group, identified: !r.hasLeases()}
 }
 
 // identifyProcess records that the endpoint list, with w on it, was complete at asOf or later. A process that had responded
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -199,3 +199,33 @@
 		h.loaded("w0")
 	}
 }
+
+// A polled list that has expired shows no more than a discovery service that is out of reach: a worker that was not used lately may
+// have been replaced since, at its address.
+func TestSlowStart_ExpiredPolledList(t *testing.T) {
+	for name, c := range map[string]struct{ isSubscribed, isUsed, isCold bool }{
+		"not used": {isCold: true}, "used for longer than the warm-up time": {isUsed: true}, "subscribed": {isSubscribed: true},
+	} {
+		h := &leaseHost{now: 100}
+		deployment := basicDeployment()
+		deployment.PollEndpoints, deployment.PollLease, deployment.DrainGrace = true, 40, testDrainGrace
+		h.router = New(deployment, 1, h, h.now)
+		h.router.Start()
+		h.listAgain()
+		h.router.OnEndpointPollFailed(h.now)
+		if c.isSubscribed {
+			h.router.OnEndpointPollSucceeded(h.now)
+		}
+		if c.isUsed {
+			h.connectAll()
+		}
+		w := h.router.workersByID["w0"]
+		if h.advance(39); h.router.warmUpProgress(w, h.now) < 1 {
+			t.Errorf("%s: cold while the list is valid", name)
+		}
+		h.advance(2)
+		if isCold := h.router.warmUpProgress(w, h.now) < 1; isCold != c.isCold {
+			t.Errorf("%s: cold %v", name, isCold)
+		}
+	}
+}
