The rate that limits cold workers is that of the mean worker in outages too

Cause: each front end limits attempts on a cold worker by the rate that it has seen on the mean warm worker of that type, so that the rates of all front ends add up to no more than one worker's capacity. In an outage only the workers that the front end was connected to counted as warm, so that it divided by these few: front ends that each keep a worker of their own busy would have had its whole rate each. To a lesser degree that was so before, with workers that were disconnected in the outage.

Change: the mean is over the workers that the endpoint list describes as warm, whether or not anything shows who is at the address.

--- a/control/outage_replacement_test.go
+++ b/control/outage_replacement_test.go
@@ -30,9 +30,9 @@
 	*simulatedFleet
 	rnd       *rand.Rand
 	requests  int
-	function  FunctionID // in use
-	rate      float64    // requests per second for it, to all front ends together
-	outageEnd int        // step
+	functions []FunctionID // in use, by front end
+	rate      float64      // requests per second to all front ends together
+	outageEnd int          // step
 }
 
 // runRandomReplacements simulates one outage after a time of use.
@@ -40,13 +40,14 @@
 	const steps, outageStart = 4000, 600
 	rnd := rand.New(rand.NewSource(seed))
 	deployment := basicDeployment()
-	deployment.FrontEnds, deployment.GossipAllowed = 1+rnd.Intn(4), rnd.Intn(2) == 0
+	deployment.FrontEnds, deployment.GossipAllowed = 1+rnd.Intn(8), rnd.Intn(2) == 0
 	deployment.NoLoadOnMiss = rnd.Intn(2) == 0
 	deployment.EndpointLeases, deployment.DrainGrace = true, units.Seconds(0.5+rnd.Float64()*1.5)
 	run := &replacementRun{simulatedFleet: newSimulatedFleet(seed, deployment, 3+rnd.Intn(6)), rnd: rnd}
 	run.toleratesVariation = true
 	run.sendHeartbeats()
-	run.useAnotherFunction()
+	run.functions = make([]FunctionID, deployment.FrontEnds)
+	run.useOtherFunctions()
 	run.outageEnd = outageStart + 800 + rnd.Intn(2000)
 	for step := range steps {
 		run.advance(stepSeconds)
@@ -69,11 +70,11 @@
 	f := r.frontEnds[r.rnd.Intn(len(r.frontEnds))]
 	if r.rnd.Float64() < r.rate*stepSeconds {
 		r.requests++
-		f.sendRequest(RequestID(strconv.Itoa(r.requests)), r.function, r.deployment.RequestClasses[0], 3)
+		f.sendRequest(RequestID(strconv.Itoa(r.requests)), r.functions[f.index], r.deployment.RequestClasses[0], 3)
 	}
 	switch {
 	case r.rnd.Intn(300) == 0:
-		r.useAnotherFunction()
+		r.useOtherFunctions()
 	case r.rnd.Intn(200) == 0:
 		f.disconnect(worker) // idle
 	case r.discoveryDown && r.rnd.Intn(250) == 0 && worker.condition == healthy && step < r.outageEnd:
@@ -85,9 +86,16 @@
 	}
 }
 
-// useAnotherFunction makes another function be the one that is requested, at another rate.
-func (r *replacementRun) useAnotherFunction() {
-	r.function, r.rate = FunctionID(strconv.Itoa(r.rnd.Intn(12))), 5+r.rnd.Float64()*75
+// useOtherFunctions makes other functions be those that are requested, at another rate: one at all front ends, or one at each.
+func (r *replacementRun) useOtherFunctions() {
+	r.rate = 5 + r.rnd.Float64()*75
+	common := FunctionID(strconv.Itoa(r.rnd.Intn(12)))
+	isCommon := r.rnd.Intn(2) == 0
+	for i := range r.functions {
+		if r.functions[i] = common; !isCommon {
+			r.functions[i] = FunctionID(strconv.Itoa(r.rnd.Intn(12)))
+		}
+	}
 }
 
 // terminateForAWhile terminates a worker, which returns cold after some seconds.
--- a/control/slow_start.go
+++ b/control/slow_start.go
@@ -23,6 +23,11 @@
 	return r.deployment.InitialCapacityFraction + float64(units.Seconds(1-r.deployment.InitialCapacityFraction)*max(age, 0)/r.deployment.WarmUpTime)
 }
 
+// isListedAsWarm reports whether the process that the endpoint list describes has completed its warm-up.
+func (r *Router) isListedAsWarm(w *worker) bool {
+	return w.startedAt <= 0 || r.now-w.startedAt >= r.deployment.WarmUpTime
+}
+
 // slowStartBudget returns the number of attempts that this front end may start on w within an overload window. As the
 // capacity of w is unknown, this front end's share of it is estimated as the peak rate that it has observed on warm
 // workers of the same machine type.
@@ -61,13 +66,15 @@
 	}
 }
 
-// updateMachineRates updates the observed rates of the machine types from the successful attempts since the last tick.
+// updateMachineRates updates the observed rates of the machine types from the successful attempts since the last tick. The rate is
+// that of the mean worker, so that the rates of all front ends add up to no more than the capacity of one. Workers that may be
+// cold only because nothing shows who is at their address count for it, although their attempts do not.
 func (r *Router) updateMachineRates(elapsed units.Seconds) {
 	for _, machine := range r.machines {
 		machine.warmWorkers = 0
 	}
 	for _, w := range r.workers {
-		if w.state == Serving && r.warmUpProgress(w, r.now) >= 1 {
+		if w.state == Serving && r.isListedAsWarm(w) {
 			w.machine.warmWorkers++
 		}
 	}
--- a/control/slow_start_test.go
+++ b/control/slow_start_test.go
@@ -135,3 +135,26 @@
 	}
 	return started
 }
+
+// Guards against budgets that add up to more than a cold worker tolerates: in a discovery outage each front end counted only the
+// few workers that it was connected to as warm, so that its rate was that of its busiest worker, and not of the mean one.
+func TestSlowStart_RateOfTheMeanWorkerInOutage(t *testing.T) {
+	for name, isAvailable := range map[string]bool{"available": true, "outage": false} {
+		h := newLeaseHost()
+		for _, id := range []WorkerID{"w0", "w1", "w2"} {
+			if id != h.home {
+				h.router.OnDisconnected(h.now, id)
+			}
+		}
+		if !isAvailable {
+			h.router.OnDiscoveryUnavailable(h.now)
+			h.advance(testDrainGrace)
+		}
+		machine := h.router.machines[0]
+		machine.rate, machine.successes = 0, 30
+		h.router.updateMachineRates(rateAveragingSeconds)
+		if want := 30 / rateAveragingSeconds / testWorkers; machine.rate != want {
+			t.Errorf("%s: %v successes per second on a worker, want %v", name, machine.rate, want)
+		}
+	}
+}
