Fake workers of the node tests share one codec of worker frames

It checks the first byte and the checksum of what a front end sends, which nodetest's did not: its own test sent frames with the first byte of a worker. No check is left out.

--- a/cmd/streamcleat/node_process_test.go
+++ b/cmd/streamcleat/node_process_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"streamcleat/internal/verification/nodetest"
+	"streamcleat/internal/verification/workerframes"
 )
 
 // startNode runs a front end with a configuration document by a shell command, and waits until it listens on addr.
@@ -214,7 +215,7 @@
 	}
 	attempts := make(chan attempt, 16)
 	worker.HandleConnections(func(conn net.Conn) {
-		worker.ObserveAttempts(conn, func(frame nodetest.Frame) { attempts <- attempt{frame.Budget(t), time.Now()} })
+		worker.ObserveAttempts(conn, func(frame workerframes.Frame) { attempts <- attempt{nodetest.Budget(t, frame), time.Now()} })
 	})
 	addr := freeAddresses(t, 1)[0]
 	node, _ := startNodeWithLimit(t, nodetest.DocumentText(addr, nodetest.NewDiscovery(t).Addr(), worker.Addr(), 256), addr, 256)
--- a/internal/node/cancellation_test.go
+++ b/internal/node/cancellation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"streamcleat/internal/verification/nodetest"
+	"streamcleat/internal/verification/workerframes"
 )
 
 // settleTime is the time within which an attempt for a client that canceled or disconnected would have been sent.
@@ -40,8 +41,8 @@
 	}
 	for name, end := range endings {
 		for state, command := range map[string]byte{
-			"between attempts": nodetest.CommandAttempt,
-			"during a load":    nodetest.CommandLoad,
+			"between attempts": workerframes.CommandAttempt,
+			"during a load":    workerframes.CommandLoad,
 		} {
 			t.Run(name+" "+state, func(t *testing.T) {
 				t.Parallel()
@@ -60,17 +61,17 @@
 	received, proceed := make(chan struct{}, 1), make(chan struct{})
 	f.worker.SetReplyCode(func(c byte) byte {
 		if c != command {
-			return nodetest.ReplySucceeded
+			return workerframes.ReplySucceeded
 		}
 		received <- struct{}{}
 		<-proceed
-		if c == nodetest.CommandAttempt {
-			return nodetest.ReplyFailed // causes a retry
+		if c == workerframes.CommandAttempt {
+			return workerframes.ReplyFailed // causes a retry
 		}
-		return nodetest.ReplySucceeded // the replica is loaded
+		return workerframes.ReplySucceeded // the replica is loaded
 	})
 	before := f.worker.Attempts.Load()
-	if command == nodetest.CommandAttempt {
+	if command == workerframes.CommandAttempt {
 		client.Send("again")
 		before++
 	} else {
--- a/internal/node/deadline_test.go
+++ b/internal/node/deadline_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"streamcleat/internal/verification/nodetest"
+	"streamcleat/internal/verification/workerframes"
 )
 
 // listenWithoutBacklog listens on the loopback interface with the shortest backlog.
@@ -73,9 +74,9 @@
 		if err := conn.SetReadDeadline(sentAt.Add(2 * timeout)); err != nil {
 			t.Fatal(err)
 		}
-		go worker.ObserveAttempts(conn, func(frame nodetest.Frame) {
+		go worker.ObserveAttempts(conn, func(frame workerframes.Frame) {
 			left := timeout - time.Since(sentAt)
-			if budget := frame.Budget(t); budget > left+slack {
+			if budget := nodetest.Budget(t, frame); budget > left+slack {
 				t.Errorf("worker received a timeout of %v, but the client's deadline is in %v", budget, left)
 			}
 		})
@@ -114,7 +115,7 @@
 	worker := nodetest.NewWorker(t)
 	budgets := make(chan time.Duration, 4)
 	worker.HandleConnections(func(conn net.Conn) {
-		worker.ObserveAttempts(conn, func(frame nodetest.Frame) { budgets <- frame.Budget(t) })
+		worker.ObserveAttempts(conn, func(frame workerframes.Frame) { budgets <- nodetest.Budget(t, frame) })
 	})
 	f := newFixtureWith(t, worker, 256, func(text string) string { return text })
 	client := f.dialWarm()
--- a/internal/node/request_id_test.go
+++ b/internal/node/request_id_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"streamcleat/internal/verification/nodetest"
+	"streamcleat/internal/verification/workerframes"
 )
 
 // Guards against a second attempt under an open request's ID: its hexadecimal digits in the other case were taken for another
@@ -57,9 +58,9 @@
 func TestRequest_OtherSpellingOfAFunctionUsesItsReplica(t *testing.T) {
 	t.Parallel()
 	worker := nodetest.NewWorker(t)
-	frames := make(chan nodetest.Frame, 64)
+	frames := make(chan workerframes.Frame, 64)
 	worker.HandleConnections(func(conn net.Conn) {
-		worker.ObserveFrames(conn, func(frame nodetest.Frame) { frames <- frame })
+		worker.ObserveFrames(conn, func(frame workerframes.Frame) { frames <- frame })
 	})
 	f := newFixtureWith(t, worker, 256, func(text string) string { return text })
 	client := f.dialWarm()
@@ -73,7 +74,7 @@
 		if path := frame.Field("path"); path != "" && path != nodetest.WarmFunction {
 			t.Errorf("command %d for function %s, want %s", frame.Command(), path, nodetest.WarmFunction)
 		}
-		if replicas := frame.Field("slots_up"); frame.Command() == nodetest.CommandLoad && replicas != "0" {
+		if replicas := frame.Field("slots_up"); frame.Command() == workerframes.CommandLoad && replicas != "0" {
 			loads++
 		}
 	}
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -10,6 +10,7 @@
 
 	"streamcleat/internal/platform"
 	"streamcleat/internal/verification/nodetest"
+	"streamcleat/internal/verification/workerframes"
 )
 
 // Requests that are open at the stop signal or arrive after it receive responses before Serve returns.
@@ -90,9 +91,9 @@
 		received <- struct{}{}
 		<-proceed
 		if attempts++; attempts == 1 {
-			return nodetest.ReplyFailed
+			return workerframes.ReplyFailed
 		}
-		return nodetest.ReplySucceeded
+		return workerframes.ReplySucceeded
 	})
 	client.Send("twice")
 	<-received
--- a/internal/node/worker_connection_test.go
+++ b/internal/node/worker_connection_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"streamcleat/internal/verification/nodetest"
+	"streamcleat/internal/verification/workerframes"
 )
 
 // readSome waits for data on a connection or its end, and discards the data.
@@ -37,7 +38,7 @@
 		"close during reply": func(t *testing.T, conn net.Conn) {
 			t.Helper()
 			readSome(conn)
-			if _, err := conn.Write([]byte{nodetest.ReplyMagic, nodetest.ReplySucceeded, 0}); err != nil {
+			if _, err := conn.Write([]byte{workerframes.WorkerMagic, workerframes.ReplySucceeded, 0}); err != nil {
 				t.Error(err)
 			}
 			nodetest.Close(t, conn)
@@ -95,16 +96,16 @@
 		attemptFields := make(chan string, 1)
 		f.worker.HandleConnections(func(conn net.Conn) {
 			for {
-				frame, err := nodetest.ReadFrame(conn)
+				frame, err := workerframes.Read(conn)
 				if err != nil {
 					return
 				}
-				if frame.Command() == nodetest.CommandAttempt {
+				if frame.Command() == workerframes.CommandAttempt {
 					attemptFields <- string(frame.Fields)
 					return
 				}
 				// The front end may have closed the connection.
-				_, _ = conn.Write(frame.Reply(nodetest.ReplySucceeded, nodetest.OneReplica, nil))
+				_, _ = conn.Write(frame.Reply(workerframes.ReplySucceeded, nodetest.OneReplica, nil))
 			}
 		})
 		client := f.dial()
@@ -128,11 +129,11 @@
 	f.worker.HandleConnections(func(conn net.Conn) {
 		var previous []byte
 		for {
-			frame, err := nodetest.ReadFrame(conn)
+			frame, err := workerframes.Read(conn)
 			if err != nil {
 				return
 			}
-			reply := frame.Reply(nodetest.ReplySucceeded, nodetest.OneReplica, frame.Body)
+			reply := frame.Reply(workerframes.ReplySucceeded, nodetest.OneReplica, frame.Body)
 			_, _ = conn.Write(previous) // the front end may have closed the connection
 			time.Sleep(2 * time.Millisecond)
 			_, _ = conn.Write(reply)
--- a/internal/verification/nodesim/workers.go
+++ b/internal/verification/nodesim/workers.go
@@ -7,6 +7,7 @@
 
 	"streamcleat/internal/upstream"
 	"streamcleat/internal/verification/nodetest"
+	"streamcleat/internal/verification/workerframes"
 )
 
 const (
@@ -44,7 +45,7 @@
 
 // attempt is an attempt that a worker received.
 type attempt struct {
-	frame nodetest.Frame
+	frame workerframes.Frame
 	conn  *workerConn
 }
 
@@ -77,7 +78,7 @@
 			return
 		}
 		for in := bytes.NewReader(data); in.Len() > 0; {
-			frame, err := nodetest.ReadFrame(in)
+			frame, err := workerframes.Read(in)
 			if err != nil {
 				c.workers.simulation.violate("frame: %v", err)
 				return
@@ -100,24 +101,24 @@
 	maps.DeleteFunc(c.workers.attempts, func(_ uint64, a *attempt) bool { return a.conn == c })
 }
 
-func (c *workerConn) receive(frame nodetest.Frame) {
+func (c *workerConn) receive(frame workerframes.Frame) {
 	w, s := c.workers, c.workers.simulation
 	switch frame.Command() {
-	case nodetest.CommandAttempt:
+	case workerframes.CommandAttempt:
 		c.receiveAttempt(frame)
-	case nodetest.CommandCancel:
+	case workerframes.CommandCancel:
 		if a := w.attempts[frame.ID()]; a != nil && a.conn == c {
 			delete(w.attempts, frame.ID())
 		}
-	case nodetest.CommandLoad:
+	case workerframes.CommandLoad:
 		w.lastLoadID = frame.ID()
-		s.After(s.upTo(maxLoadTime), func() { c.send(frame.Reply(nodetest.ReplySucceeded, nodetest.OneReplica, nil)) })
+		s.After(s.upTo(maxLoadTime), func() { c.send(frame.Reply(workerframes.ReplySucceeded, nodetest.OneReplica, nil)) })
 	}
 }
 
 // receiveAttempt starts an attempt. Its ID must have no other open attempt, and its request must not have run if it must not
 // run twice.
-func (c *workerConn) receiveAttempt(frame nodetest.Frame) {
+func (c *workerConn) receiveAttempt(frame workerframes.Frame) {
 	w, s := c.workers, c.workers.simulation
 	id, body := frame.ID(), string(frame.Body)
 	if other := w.attempts[id]; other != nil {
@@ -137,7 +138,7 @@
 		work = s.upTo(maxSlowWork)
 	}
 	var result []byte
-	if code == nodetest.ReplySucceeded {
+	if code == workerframes.ReplySucceeded {
 		result = frame.Body
 	}
 	s.After(work, func() { c.finish(a, frame.Reply(code, fields, result)) })
@@ -147,13 +148,13 @@
 func (s *simulation) drawReply() (code byte, fields string, executes bool) {
 	switch {
 	case s.chance(missProbability):
-		return nodetest.ReplyReplicaMissing, "", false
+		return workerframes.ReplyReplicaMissing, "", false
 	case s.chance(rejectProbability):
-		return nodetest.ReplyRejected, "", false
+		return workerframes.ReplyRejected, "", false
 	case s.chance(failProbability):
-		return nodetest.ReplyFailed, "", true
+		return workerframes.ReplyFailed, "", true
 	}
-	return nodetest.ReplySucceeded, "detail=hit", true
+	return workerframes.ReplySucceeded, "detail=hit", true
 }
 
 // finish sends the reply to an attempt, possibly twice. The reply to a canceled one may be sent as well: the cancellation
--- a/internal/verification/nodetest/nodetest_test.go
+++ b/internal/verification/nodetest/nodetest_test.go
@@ -10,15 +10,12 @@
 
 	"streamcleat/control"
 	"streamcleat/internal/platform"
+	"streamcleat/internal/verification/workerframes"
 )
 
 // encodeFrame encodes a frame as a front end sends it.
 func encodeFrame(command byte, fields, body string) []byte {
-	frame := binary.BigEndian.AppendUint16([]byte{ReplyMagic, command}, uint16(len(fields)))
-	frame = binary.BigEndian.AppendUint32(frame, uint32(len(body)))
-	frame = append(frame, 0, 0, 0, 0, 0, 0, 0, 7)
-	frame = append(append(frame, fields...), body...)
-	return binary.BigEndian.AppendUint32(frame, crc32.ChecksumIEEE(frame[frameHeaderSize:]))
+	return workerframes.EncodeCommand(command, 7, fields, []byte(body))
 }
 
 // exchange sends a frame to a worker and returns the reply, which is empty if there was none within timeout.
@@ -41,15 +38,15 @@
 }
 
 func isChecksumValid(reply []byte) bool {
-	end := len(reply) - checksumSize
-	return binary.BigEndian.Uint32(reply[end:]) == crc32.ChecksumIEEE(reply[frameHeaderSize:end])
+	end := len(reply) - workerframes.ChecksumSize
+	return binary.BigEndian.Uint32(reply[end:]) == crc32.ChecksumIEEE(reply[workerframes.HeaderSize:end])
 }
 
 func TestWorker_RepliesToAttempt(t *testing.T) {
 	w := NewWorker(t)
-	attempt := encodeFrame(CommandAttempt, "budget=5", "body")
+	attempt := encodeFrame(workerframes.CommandAttempt, "budget=5", "body")
 	reply := exchange(t, w, attempt, clientTimeout)
-	if len(reply) == 0 || reply[1] != ReplySucceeded || !bytes.Contains(reply, []byte("body")) || !isChecksumValid(reply) {
+	if len(reply) == 0 || reply[1] != workerframes.ReplySucceeded || !bytes.Contains(reply, []byte("body")) || !isChecksumValid(reply) {
 		t.Errorf("reply %q", reply)
 	}
 	w.Corrupt.Store(true)
@@ -68,18 +65,18 @@
 func TestWorker_RepliesToLoadWithChosenCode(t *testing.T) {
 	w := NewWorker(t)
 	w.Corrupt.Store(true) // applies to attempts only
-	w.SetReplyCode(func(byte) byte { return ReplyFailed })
-	reply := exchange(t, w, encodeFrame(CommandLoad, "", ""), clientTimeout)
-	if len(reply) == 0 || reply[1] != ReplyFailed || !bytes.Contains(reply, []byte(OneReplica)) || !isChecksumValid(reply) {
+	w.SetReplyCode(func(byte) byte { return workerframes.ReplyFailed })
+	reply := exchange(t, w, encodeFrame(workerframes.CommandLoad, "", ""), clientTimeout)
+	if len(reply) == 0 || reply[1] != workerframes.ReplyFailed || !bytes.Contains(reply, []byte(OneReplica)) || !isChecksumValid(reply) {
 		t.Errorf("reply %q", reply)
 	}
-	if command := <-w.Replied; command != CommandLoad {
+	if command := <-w.Replied; command != workerframes.CommandLoad {
 		t.Errorf("worker replied to command %d", command)
 	}
 }
 
-func TestFrame_Budget(t *testing.T) {
-	if budget := (Frame{Fields: []byte("a=1,budget=250,uniq=k")}).Budget(t); budget != 250*time.Millisecond {
+func TestBudget(t *testing.T) {
+	if budget := Budget(t, workerframes.Frame{Fields: []byte("a=1,budget=250,uniq=k")}); budget != 250*time.Millisecond {
 		t.Error(budget)
 	}
 }
--- a/internal/verification/nodetest/worker.go
+++ b/internal/verification/nodetest/worker.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync/atomic"
 	"testing"
+
+	"streamcleat/internal/verification/workerframes"
 )
 
 // repliedBufferSize is the number of replies that Worker.Replied holds until the test reads them.
@@ -62,18 +64,18 @@
 }
 
 // ObserveAttempts serves a connection until it ends and calls observe with each attempt before the reply is sent.
-func (w *Worker) ObserveAttempts(conn net.Conn, observe func(frame Frame)) {
-	w.ObserveFrames(conn, func(frame Frame) {
-		if frame.Command() == CommandAttempt {
+func (w *Worker) ObserveAttempts(conn net.Conn, observe func(frame workerframes.Frame)) {
+	w.ObserveFrames(conn, func(frame workerframes.Frame) {
+		if frame.Command() == workerframes.CommandAttempt {
 			observe(frame)
 		}
 	})
 }
 
 // ObserveFrames serves a connection until it ends and calls observe with each frame before the reply is sent.
-func (w *Worker) ObserveFrames(conn net.Conn, observe func(frame Frame)) {
+func (w *Worker) ObserveFrames(conn net.Conn, observe func(frame workerframes.Frame)) {
 	for {
-		frame, err := ReadFrame(conn)
+		frame, err := workerframes.Read(conn)
 		if err != nil {
 			return
 		}
@@ -89,7 +91,7 @@
 		return
 	}
 	for {
-		frame, err := ReadFrame(conn)
+		frame, err := workerframes.Read(conn)
 		if err != nil {
 			return
 		}
@@ -110,25 +112,25 @@
 	}
 }
 
-// reply replies to a frame, with ReplySucceeded if replyCode is nil, and reports whether a reply was sent.
-func (w *Worker) reply(conn net.Conn, frame Frame, replyCode *func(command byte) (code byte)) bool {
+// reply replies to a frame, with workerframes.ReplySucceeded if replyCode is nil, and reports whether a reply was sent.
+func (w *Worker) reply(conn net.Conn, frame workerframes.Frame, replyCode *func(command byte) (code byte)) bool {
 	fields, body, encode := OneReplica, []byte(nil), frame.Reply
 	switch frame.Command() {
-	case CommandAttempt:
+	case workerframes.CommandAttempt:
 		w.Attempts.Add(1)
 		if w.Silent.Load() {
 			return false
 		}
 		fields, body = replicaFound, frame.Body
-	case CommandLoad:
+	case workerframes.CommandLoad:
 	default:
 		return false
 	}
-	code := byte(ReplySucceeded)
+	code := byte(workerframes.ReplySucceeded)
 	if replyCode != nil {
 		code = (*replyCode)(frame.Command())
 	}
-	if frame.Command() == CommandAttempt && w.Corrupt.Load() {
+	if frame.Command() == workerframes.CommandAttempt && w.Corrupt.Load() {
 		encode = frame.CorruptReply
 	}
 	_, _ = conn.Write(encode(code, fields, body)) // the front end may have closed the connection
