--- a/cmd/streamcleat/soak.go
+++ b/cmd/streamcleat/soak.go
@@ -50,6 +50,7 @@
 	flags.StringVar(&o.recordFile, "record", "", "write the recorded traffic of the last run to this file as JSON lines")
 	flags.StringVar(&o.settings.LogFolder, "logs", "", "write the log of each process to this folder")
 	flags.BoolVar(&o.settings.Outages, "outages", false, "inject outages of discovery of up to 20 s, with faults of workers and front ends beside them")
+	flags.BoolVar(&o.settings.ColdReturns, "cold-returns", false, "with --outages: workers that return cold at their addresses, at front ends without a connection")
 	flags.IntVar(&o.settings.ConnectionsPerFrontEnd, "connections", 0, "concurrent connections of clients to each front end (0: the default)")
 	flags.DurationVar(&o.settings.RequestTimeout, "timeout", 0, "timeout that clients state (0: the default)")
 	flags.BoolVarP(&o.verbose, "verbose", "v", false, "print each fault as it is injected")
--- a/internal/verification/soak/client.go
+++ b/internal/verification/soak/client.go
@@ -122,7 +122,7 @@
 
 // send sends a request and records it.
 func (c *clientConn) send(request *clientRequest, random *rand.Rand) {
-	functionID := uint64(0xf0 + random.IntN(functionCount))
+	functionID := uint64(0xf0 + c.harness.nextFunction(random))
 	fields := []clientField{
 		{"kind", request.class},
 		{"req", spell(request.id, random)},
--- a/internal/verification/soak/config.go
+++ b/internal/verification/soak/config.go
@@ -11,15 +11,15 @@
 
 // Limits that the front ends are configured with and that the records are checked against.
 const (
-	functionCount           = 12  // functions that clients request
-	descriptorLimit         = 128 // file descriptors of a front end
-	memoryMB                = 64  // memory limit of a front end
-	deduplicationWindow     = 30 * time.Second
-	warmUpTime              = 6 * time.Second
-	initialCapacityFraction = 0.3
-	overloadFactor          = 2.5
-	overloadWindow          = 1500 * time.Millisecond
-	defaultDrainGrace       = 500 * time.Millisecond
+	functionCount          = 12  // functions that clients request
+	descriptorLimit        = 128 // file descriptors of a front end
+	memoryMB               = 64  // memory limit of a front end
+	deduplicationWindow    = 30 * time.Second
+	defaultWarmUpTime      = 6 * time.Second
+	defaultInitialCapacity = 0.3 // fraction of its capacity that a worker has when it starts
+	overloadFactor         = 2.5
+	overloadWindow         = 1500 * time.Millisecond
+	defaultDrainGrace      = 500 * time.Millisecond
 )
 
 // Request classes, named after their delivery semantics.
@@ -39,11 +39,11 @@
 			classIdempotent: "redeliverable", classIdempotentByKey: "keyed", classAtMostOnce: "at-most-once",
 		},
 		DeduplicationWindow:     map[string]float64{classIdempotentByKey: deduplicationWindow.Seconds()},
-		MeanWork:                meanWork.Seconds(),
+		MeanWork:                h.settings.meanWork().Seconds(),
 		Capacity:                map[string]float64{},
 		DrainGrace:              (h.settings.DrainGrace + 50*time.Millisecond).Seconds(),
-		InitialCapacityFraction: initialCapacityFraction,
-		WarmUpTime:              warmUpTime.Seconds(),
+		InitialCapacityFraction: h.settings.initialCapacity(),
+		WarmUpTime:              h.settings.warmUpTime().Seconds(),
 		OverloadFactor:          overloadFactor,
 		OverloadWindow:          overloadWindow.Seconds(),
 		ObservationDelay:        0.1,
@@ -81,8 +81,8 @@
 		"Accounts": []any{map[string]any{"Name": "acme", "QuotaPerS": 1000}},
 		"Domain":   map[string]any{"MayOrder": true, "OrderTimeoutMs": 1000, "StaysLoadedMs": 8000, "WhenAbsent": "miss"},
 		"Rules": map[string]any{
-			"ColdFrom": initialCapacityFraction, "FallMs": overloadWindow.Milliseconds(), "FallMultiple": overloadFactor,
-			"WarmWithinMs": warmUpTime.Milliseconds(), "DrainGraceMs": h.settings.DrainGrace.Milliseconds(), "AskWithinMs": 10_000,
+			"ColdFrom": h.settings.initialCapacity(), "FallMs": overloadWindow.Milliseconds(), "FallMultiple": overloadFactor,
+			"WarmWithinMs": h.settings.warmUpTime().Milliseconds(), "DrainGraceMs": h.settings.DrainGrace.Milliseconds(), "AskWithinMs": 10_000,
 		},
 	}
 	return map[string]any{
--- a/internal/verification/soak/faults_outage.go
+++ b/internal/verification/soak/faults_outage.go
@@ -26,7 +26,7 @@
 )
 
 // faultsDuringOutage are the kinds of fault that are injected concurrently with outages. Their order determines what a seed
-// chooses. The pause is last because outageFaultCount leaves it out in runs without pauses.
+// chooses. The pause is last because outageFaults leaves it out in runs without pauses.
 var faultsDuringOutage = []fault{
 	{"drain", (*harness).drainAndReactivate},
 	{"drain", (*harness).drainAndReactivate},
@@ -55,7 +55,7 @@
 // DrainingAnswersQueries is always chosen by the seed.
 func (s *Settings) drawOutageSettings() {
 	random := rand.New(rand.NewPCG(s.Seed, 1<<34))
-	s.DrainingAnswersQueries = random.IntN(2) == 0
+	s.DrainingAnswersQueries = random.IntN(2) == 0 && !s.ColdReturns
 	timeout, manyConnections := outageTimeouts[random.IntN(len(outageTimeouts))], random.IntN(3) == 0
 	grace, withoutPeers := drainGraces[random.IntN(len(drainGraces))], random.Float64() < withoutPeersFraction
 	if s.DrainGrace == 0 {
@@ -92,7 +92,7 @@
 		random := rand.New(rand.NewPCG(h.settings.Seed, 1<<33+1+uint64(injector)))
 		running.Go(func() {
 			for time.Now().Before(end) && ctx.Err() == nil {
-				next := faultsDuringOutage[random.IntN(h.outageFaultCount())]
+				next := h.outageFaults()[random.IntN(len(h.outageFaults()))]
 				h.logFault(next.name)
 				next.inject(h, random)
 				sleep(ctx, time.Duration(random.Int64N(int64(maxFaultDuration))))
@@ -102,12 +102,16 @@
 	running.Wait()
 }
 
-// outageFaultCount returns how many of faultsDuringOutage are injected, counted from the first.
-func (h *harness) outageFaultCount() int {
-	if h.settings.WithoutPauses {
-		return len(faultsDuringOutage) - 1
+// outageFaults returns the kinds of fault that are injected concurrently with outages.
+func (h *harness) outageFaults() []fault {
+	switch {
+	case h.settings.ColdReturns:
+		return faultsWithColdReturns
+	case h.settings.WithoutPauses:
+		return faultsDuringOutage[:len(faultsDuringOutage)-1]
+	default:
+		return faultsDuringOutage
 	}
-	return len(faultsDuringOutage)
 }
 
 // injectOutage injects one outage of a random kind. At least half of the outages last less than two seconds.
@@ -119,6 +123,9 @@
 		longest = maxOutage
 	}
 	duration := minOutage + time.Duration(random.Int64N(int64(longest-minOutage)))
+	if h.settings.ColdReturns {
+		duration = max(duration, maxOutage/2)
+	}
 	onlyFrontEnd := allFrontEnds
 	if random.Float64() < singleFrontEndFraction {
 		onlyFrontEnd = random.IntN(len(h.frontEnds))
--- a/internal/verification/soak/harness.go
+++ b/internal/verification/soak/harness.go
@@ -46,6 +46,9 @@
 	// Outages injects random discovery outages with other faults during them, in place of the usual faults. The seed also
 	// chooses the settings above that are not set.
 	Outages bool
+	// ColdReturns adds workers that terminate without a report and return cold at their addresses to the faults during outages.
+	// Requests have more work and are for few functions at a time, so that front ends are not connected to all workers.
+	ColdReturns bool
 	// FaultRate is the probability with which each system call of a front end fails. It has no effect unless the program
 	// is built with the tag faults.
 	FaultRate float64
@@ -62,6 +65,7 @@
 	discovery *discovery
 	frontEnds []*frontEnd
 	ended     chan struct{} // closed when the load ends
+	startedAt time.Time
 
 	mu           sync.Mutex
 	workers      []*worker       // active in the endpoint list
@@ -94,7 +98,7 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }() // what is left over is in the system's temporary folder
 	h := &harness{
-		settings: settings, folder: folder, recorder: invariants.NewRecorder(), ended: make(chan struct{}),
+		settings: settings, folder: folder, recorder: invariants.NewRecorder(), ended: make(chan struct{}), startedAt: time.Now(),
 		executedKeys: map[string]bool{}, result: Result{Seed: settings.Seed, Settings: settings.describe()},
 	}
 	h.discovery = newDiscovery(h)
--- a/internal/verification/soak/worker.go
+++ b/internal/verification/soak/worker.go
@@ -16,7 +16,7 @@
 
 const (
 	workerLanes         = 4 // requests that a worker executes concurrently
-	meanWork            = 20 * time.Millisecond
+	defaultMeanWork     = 20 * time.Millisecond
 	loadTime            = 60 * time.Millisecond
 	maxQueued           = 40 // requests that may wait at a worker; it rejects further ones
 	duplicateReplyDelay = 4 * time.Millisecond
@@ -228,7 +228,7 @@
 	}
 	w.lanes <- struct{}{}
 	w.queued.Add(-1)
-	time.Sleep(time.Duration(rand.ExpFloat64() * float64(meanWork)))
+	time.Sleep(time.Duration(rand.ExpFloat64() * float64(w.harness.settings.meanWork())))
 	<-w.lanes
 	if !w.harness.recordExecution(frame, w.name) {
 		c.reply(replySucceeded, frame, responseBody(frame.id, frame.body), fault) // the worker has executed the request before
