--- a/cmd/streamcleat/soak_test.go
+++ b/cmd/streamcleat/soak_test.go
@@ -34,19 +34,23 @@
 
 // Tests that the rules hold when workers drain or crash and front ends restart during discovery outages. A drain counts as
 // received from the time that the platform specifies; see docs/simulation.md. Between them, the seeds draw every kind of
-// timeout, worker and number of client connections. Process suspensions are left to TestSoak and to manual soak runs.
+// timeout, worker and number of client connections. Process suspensions are left to TestSoak and to manual soak runs. In the last
+// run, workers return cold at their addresses, at front ends that are not connected to all of them.
 func TestSoak_DiscoveryOutages(t *testing.T) {
 	exclusive.Acquire(t)
 	program, err := exec.LookPath("streamcleat")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, seed := range []uint64{100, 101, 102, 106} {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+	for _, c := range []struct {
+		seed        uint64
+		coldReturns bool
+	}{{100, false}, {101, false}, {102, false}, {106, false}, {67406, true}} {
+		t.Run(fmt.Sprint("seed ", c.seed), func(t *testing.T) {
 			t.Parallel()
 			result, _, err := soak.Run(context.Background(), soak.Settings{
-				Program: program, Seed: seed, FrontEnds: 3, Workers: 10, Duration: 20 * time.Second, Outages: true, WithoutPauses: true,
-				Log: t.Logf,
+				Program: program, Seed: c.seed, FrontEnds: 3, Workers: 10, Duration: 20 * time.Second, Outages: true, WithoutPauses: true,
+				ColdReturns: c.coldReturns, Log: t.Logf,
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/verification/soak/frames.go
+++ b/internal/verification/soak/frames.go
@@ -3,81 +3,9 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"io"
-	"strings"
 )
 
-// Layout and codes of the frames between front ends and workers, as the platform specifies them.
-const (
-	frontEndMagic    = 192 // first byte of a front end's frame
-	workerMagic      = 193 // first byte of a worker's frame
-	workerHeaderSize = 16
-	workerBodyOffset = 4
-	workerIDOffset   = 8
-	checksumSize     = 4
-
-	commandAttempt = 48
-	commandCancel  = 49
-	commandPing    = 50
-	commandLoad    = 52
-	commandUnload  = 54
-
-	replySucceeded = 64
-	replyNotLoaded = 66
-	replyRejected  = 67
-	replyFailed    = 68
-	replyPong      = 70
-)
-
-// workerFrame is a frame that a front end sent to a worker.
-type workerFrame struct {
-	command byte
-	id      uint64
-	fields  map[string]string
-	body    []byte
-}
-
-// readWorkerFrame reads the next frame that a front end sent to a worker.
-func readWorkerFrame(in io.Reader) (workerFrame, error) {
-	var frame workerFrame
-	var header [workerHeaderSize]byte
-	if _, err := io.ReadFull(in, header[:]); err != nil {
-		return frame, err
-	}
-	if header[0] != frontEndMagic {
-		return frame, fmt.Errorf("unknown first byte %d of a frame", header[0])
-	}
-	fieldsSize := int(binary.BigEndian.Uint16(header[2:]))
-	bodySize := int(binary.BigEndian.Uint32(header[workerBodyOffset:]))
-	payload := make([]byte, fieldsSize+bodySize+checksumSize)
-	if _, err := io.ReadFull(in, payload); err != nil {
-		return frame, err
-	}
-	content := payload[:fieldsSize+bodySize]
-	if crc32.ChecksumIEEE(content) != binary.BigEndian.Uint32(payload[len(content):]) {
-		return frame, fmt.Errorf("checksum mismatch in frame with command %d", header[1])
-	}
-	frame = workerFrame{
-		command: header[1], id: binary.BigEndian.Uint64(header[workerIDOffset:]), fields: map[string]string{},
-		body: content[fieldsSize:],
-	}
-	for field := range strings.SplitSeq(string(content[:fieldsSize]), ",") {
-		name, value, _ := strings.Cut(field, "=")
-		frame.fields[name] = value
-	}
-	return frame, nil
-}
-
-// encodeReply encodes a worker's reply frame.
-func encodeReply(code byte, id uint64, fields string, body []byte) []byte {
-	b := binary.BigEndian.AppendUint16([]byte{workerMagic, code}, uint16(len(fields)))
-	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
-	b = binary.BigEndian.AppendUint64(b, id)
-	b = append(append(b, fields...), body...)
-	return binary.BigEndian.AppendUint32(b, crc32.ChecksumIEEE(b[workerHeaderSize:]))
-}
-
 // Types and codes of the frames between clients and front ends.
 const (
 	frameRequest        = 1
--- a/internal/verification/soak/worker.go
+++ b/internal/verification/soak/worker.go
@@ -12,6 +12,7 @@
 
 	"streamcleat/internal/verification/invariants"
 	"streamcleat/internal/verification/ports"
+	"streamcleat/internal/verification/workerframes"
 )
 
 const (
@@ -128,7 +129,7 @@
 	c := &workerConn{worker: w, conn: conn, frontEnd: frontEnd, open: map[uint64]uint64{}}
 	in := bufio.NewReader(conn)
 	for {
-		frame, err := readWorkerFrame(in)
+		frame, err := workerframes.Read(in)
 		if err != nil {
 			break
 		}
@@ -163,67 +164,67 @@
 	return open
 }
 
-func (c *workerConn) onFrame(frame workerFrame) {
-	switch frame.command {
-	case commandAttempt:
+func (c *workerConn) onFrame(frame workerframes.Frame) {
+	switch frame.Command() {
+	case workerframes.CommandAttempt:
 		c.onAttempt(frame)
-	case commandCancel:
-		c.end(frame.id)
-	case commandPing:
-		_, _ = c.conn.Write(encodeReply(replyPong, frame.id, "", nil)) // the front end may have closed the connection
-	case commandLoad:
+	case workerframes.CommandCancel:
+		c.end(frame.ID())
+	case workerframes.CommandPing:
+		_, _ = c.conn.Write(frame.Reply(workerframes.ReplyPong, "", nil)) // the front end may have closed the connection
+	case workerframes.CommandLoad:
 		go c.load(frame)
-	case commandUnload:
+	case workerframes.CommandUnload:
 		c.worker.mu.Lock()
-		delete(c.worker.loaded, requestName(frame.id))
+		delete(c.worker.loaded, requestName(frame.ID()))
 		c.worker.mu.Unlock()
 	default:
-		c.worker.harness.violate("frame", "%s sent unknown command %d to %s", c.frontEnd, frame.command, c.worker.name)
+		c.worker.harness.violate("frame", "%s sent unknown command %d to %s", c.frontEnd, frame.Command(), c.worker.name)
 	}
 }
 
-func (c *workerConn) onAttempt(frame workerFrame) {
+func (c *workerConn) onAttempt(frame workerframes.Frame) {
 	w := c.worker
-	budget, err := strconv.ParseFloat(frame.fields["budget"], 64)
+	budget, err := strconv.ParseFloat(frame.Field("budget"), 64)
 	if err != nil {
-		w.harness.violate("frame", "malformed budget %q: %v", frame.fields["budget"], err)
+		w.harness.violate("frame", "malformed budget %q: %v", frame.Field("budget"), err)
 	}
 	w.attempts.Add(1)
 	callID := w.harness.recorder.NextCallID()
 	c.mu.Lock()
-	c.open[frame.id] = callID
+	c.open[frame.ID()] = callID
 	c.mu.Unlock()
 	w.harness.recorder.Add(invariants.Record{
-		Kind: invariants.AttemptStarted, CallID: callID, RequestID: requestName(frame.id), Worker: w.name,
-		FrontEnd: w.harness.processName(c.frontEnd), Class: frame.fields["queue"], Function: frame.fields["path"], Timeout: budget / 1000,
+		Kind: invariants.AttemptStarted, CallID: callID, RequestID: requestName(frame.ID()), Worker: w.name,
+		FrontEnd: w.harness.processName(c.frontEnd), Class: frame.Field("queue"), Function: frame.Field("path"), Timeout: budget / 1000,
 	})
 	go c.execute(frame, workerFault(w.fault.Load()))
 }
 
 // execute executes a request and sends its reply, as far as the worker's fault permits.
-func (c *workerConn) execute(frame workerFrame, fault workerFault) {
+func (c *workerConn) execute(frame workerframes.Frame, fault workerFault) {
 	w := c.worker
 	if fault == hang {
 		for w.fault.Load() == int32(hang) {
 			time.Sleep(hangPollInterval)
 		}
-		c.end(frame.id) // requests that arrived during a hang never get a reply
+		c.end(frame.ID()) // requests that arrived during a hang never get a reply
 		return
 	}
 	if fault == resetConnections && rand.IntN(2) == 0 {
 		reset(c.conn)
 		return
 	}
-	loaded := w.isLoaded(frame.fields["path"])
+	loaded := w.isLoaded(frame.Field("path"))
 	switch {
 	case w.draining.Load():
-		c.reply(replyRejected, frame, nil, fault)
+		c.reply(workerframes.ReplyRejected, frame, nil, fault)
 		return
 	case !loaded:
-		c.reply(replyNotLoaded, frame, nil, fault)
+		c.reply(workerframes.ReplyReplicaMissing, frame, nil, fault)
 		return
 	case fault == rejectRequests || w.queued.Add(1) > maxQueued:
-		c.reply(replyRejected, frame, nil, fault)
+		c.reply(workerframes.ReplyRejected, frame, nil, fault)
 		return
 	}
 	w.lanes <- struct{}{}
@@ -231,26 +232,26 @@
 	time.Sleep(time.Duration(rand.ExpFloat64() * float64(w.harness.settings.meanWork())))
 	<-w.lanes
 	if !w.harness.recordExecution(frame, w.name) {
-		c.reply(replySucceeded, frame, responseBody(frame.id, frame.body), fault) // the worker has executed the request before
+		c.reply(workerframes.ReplySucceeded, frame, responseBody(frame.ID(), frame.Body), fault) // the worker has executed the request before
 		return
 	}
 	if fault == resetConnections {
 		reset(c.conn)
 		return
 	}
-	c.reply(replySucceeded, frame, responseBody(frame.id, frame.body), fault)
+	c.reply(workerframes.ReplySucceeded, frame, responseBody(frame.ID(), frame.Body), fault)
 }
 
 // reply ends an attempt and sends its reply, corrupted or duplicated if that is the worker's fault.
-func (c *workerConn) reply(code byte, frame workerFrame, body []byte, fault workerFault) {
-	if !c.end(frame.id) {
+func (c *workerConn) reply(code byte, frame workerframes.Frame, body []byte, fault workerFault) {
+	if !c.end(frame.ID()) {
 		return // the attempt was cancelled
 	}
 	detail := "detail=hit"
-	if code == replyNotLoaded {
+	if code == workerframes.ReplyReplicaMissing {
 		detail = ""
 	}
-	data := encodeReply(code, frame.id, detail, body)
+	data := frame.Reply(code, detail, body)
 	if fault == corruptReplies {
 		data[len(data)-1]++
 	}
@@ -262,10 +263,10 @@
 }
 
 // load handles a load command or a query: it loads a replica if required, and reports whether one is loaded.
-func (c *workerConn) load(frame workerFrame) {
+func (c *workerConn) load(frame workerframes.Frame) {
 	w := c.worker
-	function := frame.fields["path"]
-	replicas, _ := strconv.Atoi(frame.fields["slots_up"]) // 0 makes the command a query
+	function := frame.Field("path")
+	replicas, _ := strconv.Atoi(frame.Field("slots_up")) // 0 makes the command a query
 	w.harness.recorder.Add(invariants.Record{
 		Kind: invariants.LoadCommanded, FrontEnd: w.harness.processName(c.frontEnd), Worker: w.name,
 		Function: function, Replicas: replicas,
@@ -281,15 +282,15 @@
 		w.mu.Unlock()
 		loaded = true
 	}
-	code, fields := byte(replySucceeded), "slots_up=0"
+	code, fields := byte(workerframes.ReplySucceeded), "slots_up=0"
 	if loaded {
 		fields = "slots_up=1"
 	}
 	answersQuery := replicas == 0 && w.harness.settings.DrainingAnswersQueries
 	if w.draining.Load() && !answersQuery {
-		code = replyRejected
+		code = workerframes.ReplyRejected
 	}
-	_, _ = c.conn.Write(encodeReply(code, frame.id, fields, nil)) // the front end may have closed the connection
+	_, _ = c.conn.Write(frame.Reply(code, fields, nil)) // the front end may have closed the connection
 }
 
 func (w *worker) isLoaded(function string) bool {
@@ -300,9 +301,9 @@
 
 // recordExecution records the execution of a request, and reports whether the request is executed. Workers do not execute a
 // request again whose idempotency key any of them has executed.
-func (h *harness) recordExecution(frame workerFrame, worker string) bool {
-	name := requestName(frame.id)
-	if key := frame.fields["uniq"]; key != "" {
+func (h *harness) recordExecution(frame workerframes.Frame, worker string) bool {
+	name := requestName(frame.ID())
+	if key := frame.Field("uniq"); key != "" {
 		h.mu.Lock()
 		duplicate := h.executedKeys[key]
 		h.executedKeys[key] = true
@@ -312,8 +313,8 @@
 		}
 	}
 	h.recorder.Add(invariants.Record{
-		Kind: invariants.Executed, RequestID: name, Class: frame.fields["queue"], Worker: worker,
-		Function: frame.fields["path"],
+		Kind: invariants.Executed, RequestID: name, Class: frame.Field("queue"), Worker: worker,
+		Function: frame.Field("path"),
 	})
 	return true
 }
