--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -13,8 +13,8 @@
 type process struct {
 	group     deduplicationGroup // as listed when the process was first assumed
 	assumedAt units.Seconds      // end of the last connection to its predecessor; 0: none was known to end
-	// connectedAt is the time at which the first message was written to a connection to it, or earlier than which it was
-	// connected; 0: none.
+	// connectedAt is the earliest time at which it is known to have been connected: when the first message was written to it or,
+	// where the host does not report that, when it first responded; 0: none.
 	connectedAt units.Seconds
 	repliedAt   units.Seconds // time of its first response; 0: none
 	aliveAt     units.Seconds // time of its last response; 0: none
@@ -144,10 +144,7 @@
 // of it, which may be an earlier one. After a disconnection, the process that responds may have started as late as now.
 func (r *Router) onReply(w *worker, sentTo *process, outcome Outcome) {
 	isReply := outcome == Succeeded || outcome == Failed || outcome == Rejected || outcome == ReplicaMissing
-	if !isReply {
-		return
-	}
-	if sentTo == nil {
+	if !isReply || sentTo == nil {
 		return
 	}
 	sentTo.aliveAt = r.now
