Peers state all leases in the message of the old kind, after that of warm workers

Found by reading; no caller has reported it.

Cause: a response to a request for lease confirmations stated the workers that its sender knew as warm in the new kind of message only, which versions before it ignore. So in a fleet that runs both during a rollout, older front ends that were restarted in an outage got no confirmation from newer ones. The other workers' message was sent first, and requests that waited were resumed by it, before the warm ones were known.

Change: the message of the warm workers comes first, and the one of the old kind states every worker whose lease is confirmed.

Evidence: TestConfirmationResponse_StatesWarmWorkers asks for both messages in this order, and fails before in five cases. It asks for no less than before: a worker that is not known as warm is in the message of the old kind only. Not played with two versions.

--- a/control/peer_confirmations.go
+++ b/control/peer_confirmations.go
@@ -28,8 +28,9 @@
 )
 
 // Confirmation messages have odd lengths, other gossip messages have even ones. They consist of the kind, the nonce of the
-// request in 32 bits and, in a response, 16 bits for each worker: its digest in 12, and the age of its confirmation in 4. A
-// response has a second kind for the workers that the sender also knew as warm at the time of the confirmation.
+// request in 32 bits and, in a response, 16 bits for each worker: its digest in 12, and the age of its confirmation in 4. The
+// workers that the sender also knew as warm at that time are stated before, in a message of another kind, which older versions
+// ignore.
 const (
 	confirmationRequestKind      byte = 1
 	confirmationResponseKind     byte = 2
@@ -114,18 +115,20 @@
 		r.random.fraction()*float64(r.deployment.FrontEnds-1) >= responsesPerConfirmationRequest {
 		return
 	}
-	response, warmResponse := newConfirmationResponse(confirmationResponseKind, nonce), newConfirmationResponse(warmConfirmationResponseKind, nonce)
+	warmResponse := newConfirmationResponse(warmConfirmationResponseKind, nonce)
+	response := newConfirmationResponse(confirmationResponseKind, nonce)
 	first := r.random.below(len(r.workers)) // random, as a response may not have room for all workers
 	for i := range r.workers {
 		w := r.workers[(first+i)%len(r.workers)]
 		if step, known := r.warmConfirmationAgeStep(w); known {
 			warmResponse.add(w, step)
-		} else if step, known := r.confirmationAgeStep(w); known {
+		}
+		if step, known := r.confirmationAgeStep(w); known {
 			response.add(w, step)
 		}
 	}
-	r.broadcastConfirmations(response)
 	r.broadcastConfirmations(warmResponse)
+	r.broadcastConfirmations(response)
 }
 
 // confirmationResponse is the encoding of a response.
--- a/control/peer_confirmations_test.go
+++ b/control/peer_confirmations_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"testing"
 
 	"streamcleat/internal/units"
@@ -276,17 +277,21 @@
 }
 
 // A response states that a worker is warm only if its sender knows that of the process that it was last connected to or, while
-// discovery is available, of the listed one.
+// discovery is available, of the listed one. That the worker serves is stated in any case, in the message that all versions read.
 func TestConfirmationResponse_StatesWarmWorkers(t *testing.T) {
 	for name, c := range map[string]struct {
-		steps string
-		kind  byte
+		steps  string
+		isWarm bool
 	}{
-		"connected through the outage":     {"outage reply", warmConfirmationResponseKind},
-		"connected during the outage":      {"disconnect list outage reply", confirmationResponseKind},
-		"no response for longer":           {"outage", confirmationResponseKind},
-		"discovery is available":           {"disconnect list", warmConfirmationResponseKind},
-		"it is, but reported a cold start": {"restart list", confirmationResponseKind},
+		"connected through the outage":              {"outage reply", true},
+		"connected during the outage":               {"disconnect list outage reply", false},
+		"no response for longer":                    {"outage", false},
+		"available, connected":                      {"list", true},
+		"available, disconnected":                   {"disconnect list", true},
+		"available, connected since the last list":  {"disconnect list reply", true},
+		"available, connected and listed since":     {"disconnect reply list", true},
+		"available, reported as started":            {"restart list", false},
+		"available, reported as started, connected": {"restart reply list", false},
 	} {
 		h := newKeyedHost()
 		h.play(c.steps)
@@ -294,16 +299,20 @@
 		w.recordAcceptance(h.now)
 		h.broadcasts = nil
 		h.router.OnGossip(h.now, binary.LittleEndian.AppendUint32([]byte{confirmationRequestKind}, 77))
-		kinds := map[byte]bool{}
+		var kinds []byte
 		for _, response := range h.broadcasts {
 			for confirmations := response[confirmationRequestBytes:]; len(confirmations) > 0; confirmations = confirmations[confirmationBytes:] {
 				if uint32(binary.LittleEndian.Uint16(confirmations))&workerDigestMask == w.digest() {
-					kinds[response[0]] = true
+					kinds = append(kinds, response[0])
 				}
 			}
 		}
-		if !kinds[c.kind] || len(kinds) != 1 {
-			t.Errorf("%s: kinds %v of responses, want %d", name, kinds, c.kind)
+		want := []byte{confirmationResponseKind}
+		if c.isWarm {
+			want = []byte{warmConfirmationResponseKind, confirmationResponseKind}
+		}
+		if !slices.Equal(kinds, want) {
+			t.Errorf("%s: messages of kinds %v, want %v", name, kinds, want)
 		}
 	}
 }
