In an outage, a list shows only processes that had responded before it

What callers would see: as in, a cold worker that is pushed over. Found by a wider generator; no caller has reported it.

Cause: took a process that was connected up to a lease after a list for the listed one, because a process is not replaced within that time. But a list does not show that a process is there: a worker that has terminated may still be listed, and return right after the list. Peers' lists were taken for evidence in the same way.

Change: the list identifies processes that had responded by then, as before, and nothing else. A peer states a worker as warm by its responses to this peer, or by the list if it is connected to it and it had responded by then. The rule that a process which is connected a lease later is the same one is left for these statements, whose process was there.

Evidence: workers of TestRouter_ColdWorkersDuringOutages also terminate before the outage. Three cases of other tests fail before too. Two of these had asked for the fault: the process that responded after the list without a connection at the list counted as the listed one. They ask for the opposite now. The simulated fleet has two corrections without which it accused the fix: hosts report only workers that have changed (proxy does; a list of all told each router that processes may have been replaced, so that none was ever identified), and a load command to a worker that has terminated ends as unreachable, not with its rejection.

Nothing that they can know tells these workers from cold ones.

--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -216,7 +216,7 @@
 		h.play("list outage")
 		for id, name := range h.names() {
 			h.confirm(id)
-			h.router.workersByID[id].recordStartKnown(h.now)
+			h.router.workersByID[id].recordPeerWarm(h.now)
 			if strings.Contains(c.warm, name) {
 				fn.ensureReplica(h.router.workersByID[id]).markWarm(h.now)
 			}
--- a/control/outage_fleet_test.go
+++ b/control/outage_fleet_test.go
@@ -96,11 +96,16 @@
 	s.sendHeartbeats()
 }
 
-// sendHeartbeats sends the list and a heartbeat to all front ends.
-func (s *simulatedFleet) sendHeartbeats() {
-	s.sendEndpointLists()
+// sendHeartbeats sends all front ends what has changed in the list, and a heartbeat.
+func (s *simulatedFleet) sendHeartbeats() { s.sendHeartbeatsExcept(nil) }
+
+// sendHeartbeatsExcept is sendHeartbeats for all front ends but one.
+func (s *simulatedFleet) sendHeartbeatsExcept(isolated *simulatedFrontEnd) {
 	for _, f := range s.frontEnds {
-		f.router.OnDiscoveryAvailable(s.now, s.now)
+		if f != isolated {
+			f.sendListChanges()
+			f.router.OnDiscoveryAvailable(s.now, s.now)
+		}
 	}
 }
 
--- a/control/outage_replacement_test.go
+++ b/control/outage_replacement_test.go
@@ -9,8 +9,8 @@
 	"streamcleat/internal/units"
 )
 
-// With random discovery outages, in which workers terminate and return cold at their addresses without a report, no worker is
-// pushed over while it warms up. Front ends begin an outage with connections to some workers only: functions come into use and
+// With random discovery outages, before or in which workers terminate and return cold at their addresses without a report, no
+// worker is pushed over while it warms up. Front ends begin an outage with connections to some workers only: functions come into use and
 // go out of it, and idle connections are closed.
 func TestRouter_ColdWorkersDuringOutages(t *testing.T) {
 	holds := func(seed int64) bool {
@@ -35,9 +35,15 @@
 	outageEnd int          // step
 }
 
+// Steps of a run. Some workers terminate before the outage begins, so that they are still listed when they return during it.
+const (
+	firstTermination = 100
+	outageStart      = 600
+)
+
 // runRandomReplacements simulates one outage after a time of use.
 func runRandomReplacements(seed int64) *simulatedFleet {
-	const steps, outageStart = 4000, 600
+	const steps = 4000
 	rnd := rand.New(rand.NewSource(seed))
 	deployment := basicDeployment()
 	deployment.FrontEnds, deployment.GossipAllowed = 1+rnd.Intn(8), rnd.Intn(2) == 0
@@ -77,7 +83,7 @@
 		r.useOtherFunctions()
 	case r.rnd.Intn(200) == 0:
 		f.disconnect(worker) // idle
-	case r.discoveryDown && r.rnd.Intn(250) == 0 && worker.condition == healthy && step < r.outageEnd:
+	case step >= firstTermination && r.rnd.Intn(250) == 0 && worker.condition == healthy && step < r.outageEnd:
 		r.terminateForAWhile(worker)
 	case r.discoveryDown && r.rnd.Intn(400) == 0 && worker.State == Serving:
 		worker.State, worker.drainedAt, worker.sendsAfterGrace = Draining, r.now, map[int]int{}
--- a/control/peer_confirmations.go
+++ b/control/peer_confirmations.go
@@ -221,6 +221,6 @@
 	}
 	w.recordAcceptance(acceptedAt)
 	if kind == warmConfirmationResponseKind {
-		w.recordStartKnown(acceptedAt)
+		w.recordPeerWarm(acceptedAt)
 	}
 }
--- a/control/peer_confirmations_test.go
+++ b/control/peer_confirmations_test.go
@@ -94,16 +94,6 @@
 	return requests
 }
 
-// sendHeartbeatsExcept sends the list and a heartbeat to all front ends but one.
-func (s *simulatedFleet) sendHeartbeatsExcept(isolated *simulatedFrontEnd) {
-	for _, f := range s.frontEnds {
-		if f != isolated {
-			f.sendEndpointList()
-			f.router.OnDiscoveryAvailable(s.now, s.now)
-		}
-	}
-}
-
 // The age of a peer's confirmation counts back from the time of the request, whenever the response arrives. Responses to
 // earlier requests are ignored.
 func TestConfirmationResponse_AgeCountsFromRequest(t *testing.T) {
@@ -276,8 +266,8 @@
 	}
 }
 
-// A response states that a worker is warm only if its sender knows that of the process that it was last connected to or, while
-// discovery is available, of the listed one. That the worker serves is stated in any case, in the message that all versions read.
+// A response states that a worker is warm only if its sender knows that of a process that was there at that time: a listed worker
+// may have terminated. That the worker serves is stated in any case, in the message that all versions read.
 func TestConfirmationResponse_StatesWarmWorkers(t *testing.T) {
 	for name, c := range map[string]struct {
 		steps  string
@@ -287,8 +277,8 @@
 		"connected during the outage":               {"disconnect list outage reply", false},
 		"no response for longer":                    {"outage", false},
 		"available, connected":                      {"list", true},
-		"available, disconnected":                   {"disconnect list", true},
-		"available, connected since the last list":  {"disconnect list reply", true},
+		"available, disconnected":                   {"disconnect list", false},
+		"available, connected since the last list":  {"disconnect list reply", false},
 		"available, connected and listed since":     {"disconnect reply list", true},
 		"available, reported as started":            {"restart list", false},
 		"available, reported as started, connected": {"restart reply list", false},
--- a/control/simulated_front_end_test.go
+++ b/control/simulated_front_end_test.go
@@ -79,6 +79,21 @@
 	f.router.OnEndpointUpdate(f.fleet.now, Snapshot, endpoints)
 }
 
+// sendListChanges sends the router the workers that have changed since the latest list, as hosts do: an update of a worker that has
+// not changed would tell the router that another process may be at its address.
+func (f *simulatedFrontEnd) sendListChanges() {
+	var changed []Worker
+	for _, worker := range f.fleet.workers {
+		if worker.listedState[f.index] != worker.State || worker.listedStart[f.index] != float64(worker.StartedAt) {
+			worker.listedState[f.index], worker.listedStart[f.index] = worker.State, float64(worker.StartedAt)
+			changed = append(changed, worker.Worker)
+		}
+	}
+	if len(changed) > 0 {
+		f.router.OnEndpointUpdate(f.fleet.now, Delta, changed)
+	}
+}
+
 // sendRequest sends the router a request of a client.
 func (f *simulatedFrontEnd) sendRequest(id RequestID, fn FunctionID, class RequestClass, timeLeft units.Seconds) *clientRequest {
 	req := &clientRequest{
@@ -236,11 +251,17 @@
 		delay = 0.01
 	}
 	f.connect(worker)
-	process := worker.processes
+	process, isUnreachable := worker.processes, worker.condition == partitioned
 	s.after(delay, func() {
 		result := LoadResult{Worker: workerID, Function: fn, Outcome: Rejected, Duration: delay}
-		if worker.processes != process {
+		switch {
+		case isUnreachable: // the connection that the command was written to ends
+			f.router.OnDisconnected(s.now, workerID)
+			result.Outcome = Unreachable
+		case worker.processes != process:
 			result.Outcome = ConnectionLost
+		}
+		if result.Outcome != Rejected {
 			f.router.OnLoadResult(s.now, result)
 			return
 		}
--- a/control/slow_start.go
+++ b/control/slow_start.go
@@ -23,9 +23,9 @@
 	return r.deployment.InitialCapacityFraction + float64(units.Seconds(1-r.deployment.InitialCapacityFraction)*max(age, 0)/r.deployment.WarmUpTime)
 }
 
-// isListedAsWarm reports whether the process that the endpoint list describes has completed its warm-up.
-func (r *Router) isListedAsWarm(w *worker) bool {
-	return w.startedAt <= 0 || r.now-w.startedAt >= r.deployment.WarmUpTime
+// hasWarmedUp reports whether a process that started at a time, or long ago if that is 0, has completed its warm-up.
+func (r *Router) hasWarmedUp(startedAt units.Seconds) bool {
+	return startedAt <= 0 || r.now-startedAt >= r.deployment.WarmUpTime
 }
 
 // slowStartBudget returns the number of attempts that this front end may start on w within an overload window. As the
@@ -74,7 +74,7 @@
 		machine.warmWorkers = 0
 	}
 	for _, w := range r.workers {
-		if w.state == Serving && r.isListedAsWarm(w) {
+		if w.state == Serving && r.hasWarmedUp(w.startedAt) {
 			w.machine.warmWorkers++
 		}
 	}
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -3,10 +3,11 @@
 import "streamcleat/internal/units"
 
 // Worker processes: a worker is an entry of the endpoint list, at whose address another process may respond while there is no
-// connection. Discovery reports the new process. During a discovery outage only a connection shows which process responds: one
-// that was open when discovery last confirmed the list, or a lease later at the latest, reaches the listed process. Any other
-// worker, connected or not, counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has
-// passed since its first response.
+// connection. Discovery reports the new process. During a discovery outage only responses show which process is there: one that
+// had responded when discovery last confirmed the list, on a connection that has not ended since, is the listed process. The
+// list alone shows no process, because a worker that has terminated may still be listed. Any other worker, connected or not,
+// counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has passed since its first
+// response.
 
 // process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
 // entry in the endpoint list to the next.
@@ -18,9 +19,8 @@
 	connectedAt units.Seconds
 	repliedAt   units.Seconds // time of its first response; 0: none
 	aliveAt     units.Seconds // time of its last response; 0: none
-	// startKnownAt is the latest time at which it was known when the process at the address had started: as the endpoint list
-	// says, or so long ago that it is warm, according to a peer; 0: none.
-	startKnownAt units.Seconds
+	// peerWarmAt is the latest time at which the process at the address responded to a peer that knew it as warm; 0: none.
+	peerWarmAt units.Seconds
 	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
 	identified bool
 	// confirmedAs is the same process as it was known before it became uncertain; nil if it was not, or is still so.
@@ -49,7 +49,6 @@
 	if w.state == Removed {
 		return
 	}
-	w.recordStartKnown(asOf)
 	w.process.identify(asOf)
 	if w.certainProcess != nil {
 		w.certainProcess.identify(asOf)
@@ -126,7 +125,7 @@
 		p.connectedAt = other.connectedAt
 	}
 	p.aliveAt = max(p.aliveAt, other.aliveAt)
-	p.startKnownAt = max(p.startKnownAt, other.startKnownAt)
+	p.peerWarmAt = max(p.peerWarmAt, other.peerWarmAt)
 }
 
 // assumeProcessReplaced makes a worker count as unconfirmed and cold, unless the endpoint list shows otherwise.
@@ -176,18 +175,20 @@
 
 // isStartKnown reports whether the process at the address of w is known to have started when the endpoint list says.
 func (r *Router) isStartKnown(w *worker) bool {
-	p := w.process
-	return r.isDiscoveryAvailable() || p.identified || r.wasStartKnown(p)
+	return r.isDiscoveryAvailable() || r.isStartShown(w.process)
 }
 
-// wasStartKnown reports whether the start of p was known while p was connected or within a lease before. A lease is shorter than
-// the time in which a process is replaced.
-func (r *Router) wasStartKnown(p *process) bool {
+// isStartShown is isStartKnown by what this front end and its peers received from p itself.
+func (r *Router) isStartShown(p *process) bool { return p.identified || r.isWarmAtPeer(p) }
+
+// isWarmAtPeer reports whether a peer knew p as warm while p was connected or within a lease before. A lease is shorter than the
+// time in which a process is replaced.
+func (r *Router) isWarmAtPeer(p *process) bool {
 	connectedAt := p.connectedAt
 	if connectedAt == 0 {
 		connectedAt = r.now
 	}
-	return p.startKnownAt > 0 && connectedAt < p.startKnownAt+r.leaseDuration()
+	return p.peerWarmAt > 0 && connectedAt < p.peerWarmAt+r.leaseDuration()
 }
 
 // reachProcess returns the process that a message which is written to w now reaches.
@@ -198,29 +199,28 @@
 	return w.process
 }
 
-// recordStartKnown records that the start of the process at the address of w was known at a time.
-func (w *worker) recordStartKnown(at units.Seconds) {
+// recordPeerWarm records that the process at the address of w responded at a time to a peer that knew it as warm.
+func (w *worker) recordPeerWarm(at units.Seconds) {
 	if at < w.process.assumedAt {
 		return // it was that of a predecessor
 	}
-	w.process.startKnownAt = max(w.process.startKnownAt, at)
+	w.process.peerWarmAt = max(w.process.peerWarmAt, at)
 	if w.certainProcess != nil {
-		w.certainProcess.startKnownAt = max(w.certainProcess.startKnownAt, at)
+		w.certainProcess.peerWarmAt = max(w.certainProcess.peerWarmAt, at)
 	}
 }
 
-// lastWarmAt returns the latest time at which the process at the address of w is known to have been warm; 0 if there is none.
+// lastWarmAt returns the latest time at which the process at the address of w is known to have been there and warm; 0 if there is
+// none. That a worker is listed does not show it.
 func (r *Router) lastWarmAt(w *worker) units.Seconds {
 	p := w.process
 	switch {
-	case r.warmUpProgress(w, r.now) < 1:
+	case !r.hasWarmedUp(r.shownColdSince(w)):
 		return 0
-	case !r.isDiscoveryAvailable():
-		return p.aliveAt
-	case p.identified:
+	case p.identified && r.isDiscoveryAvailable():
 		return max(p.aliveAt, r.discovery.confirmedAt)
 	default:
-		return r.discovery.confirmedAt
+		return p.aliveAt
 	}
 }
 
@@ -231,8 +231,16 @@
 
 // coldSince returns the latest time at which the process at the address of w may have started; 0 if it is long past.
 func (r *Router) coldSince(w *worker) units.Seconds {
+	if r.isDiscoveryAvailable() {
+		return w.startedAt
+	}
+	return r.shownColdSince(w)
+}
+
+// shownColdSince is coldSince by what this front end and its peers received from the process itself.
+func (r *Router) shownColdSince(w *worker) units.Seconds {
 	switch {
-	case r.isStartKnown(w):
+	case r.isStartShown(w.process):
 		return w.startedAt
 	case w.process.repliedAt == 0:
 		return r.now
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -34,8 +34,9 @@
 	}
 }
 
-// Without a connection that was open when discovery last confirmed the list, a worker may have been replaced at its address
-// before or during the outage. The process may have started as late as its first response.
+// Without a response before discovery last confirmed the list, a worker may have been replaced at its address before or during
+// the outage: it may have terminated before, be listed still, and return right after. The process may have started as late as
+// its first response.
 func TestLease_WorkerWithoutConnectionMayBeAnotherProcess(t *testing.T) {
 	for name, c := range map[string]struct {
 		steps  string
@@ -44,7 +45,7 @@
 		"connected":                  {"", false},
 		"disconnected":               {"disconnect", true},
 		"disconnected, later update": {"disconnect list", true},
-		"disconnected, later update and response":     {"disconnect list reply", false},
+		"disconnected, later update and response":     {"disconnect list reply", true},
 		"the same, response after a lease":            {"disconnect list wait reply", true},
 		"disconnected, later response and update":     {"disconnect reply list", false},
 		"removed and listed again":                    {"remove return list", true},
@@ -84,14 +85,14 @@
 // sent it every request. The first attempts must be within the budget of a process that starts with the outage.
 func TestSlowStart_UnconnectedWorkerInOutage(t *testing.T) {
 	for name, connect := range map[string]func(h *leaseHost){
-		"warm, used before the last list":     func(h *leaseHost) { h.connectAll(); h.confirmList() },
-		"never used":                          func(*leaseHost) {},
-		"used and idle before the outage":     func(h *leaseHost) { h.connectAll(); h.disconnectAll(); h.confirmList() },
-		"disconnected after the last list":    func(h *leaseHost) { h.connectAll(); h.confirmList(); h.disconnectAll() },
-		"listed anew, not used since":         func(h *leaseHost) { h.connectAll(); h.listAgain(); h.confirmList() },
-		"warm, used just after the last list": func(h *leaseHost) { h.confirmList(); h.connectAll() },
-		"first used a lease after it":         func(h *leaseHost) { h.confirmList(); h.now += testDrainGrace; h.connectAll() },
-		"suspended since before the outage":   func(h *leaseHost) { h.now += 60 },
+		"warm, used before the last list":   func(h *leaseHost) { h.connectAll(); h.confirmList() },
+		"never used":                        func(*leaseHost) {},
+		"used and idle before the outage":   func(h *leaseHost) { h.connectAll(); h.disconnectAll(); h.confirmList() },
+		"disconnected after the last list":  func(h *leaseHost) { h.connectAll(); h.confirmList(); h.disconnectAll() },
+		"listed anew, not used since":       func(h *leaseHost) { h.connectAll(); h.listAgain(); h.confirmList() },
+		"used just after the last list":     func(h *leaseHost) { h.confirmList(); h.connectAll() },
+		"first used a lease after it":       func(h *leaseHost) { h.confirmList(); h.now += testDrainGrace; h.connectAll() },
+		"suspended since before the outage": func(h *leaseHost) { h.now += 60 },
 	} {
 		h := newUnconnectedHost()
 		connect(h)
