A new weight of a worker leaves what is known of the process at its address

Cause: the router took any update of a worker for a sign that another process may be at its address, because it could not tell an update of the address from one of the weight.

Change: control.Worker has the address, which the codecs of both lists set. The process is another one after a change of the address, start, state, zone or failure domain; connections end at no other change either (Pool.SetEndpoints).

Evidence: TestSlowStart_UnconnectedWorkerInOutage, "warm, listed with another weight", fails before with 1 attempt of 40 requests. Its case "listed anew" is that of another address now, and a worker that drains and returns to service stands beside it; both are held to slow start as before. TestEndpointList_ConvertsWorkers compares the address too.

--- a/control/endpoint_index.go
+++ b/control/endpoint_index.go
@@ -32,26 +32,33 @@
 	return w
 }
 
-// updateWorker applies an update of an endpoint that is in the index. Messages sent from now on may reach another process,
-// also if the start is the same: the update may be that of the address.
+// updateWorker applies an update of an endpoint that is in the index.
 func (r *Router) updateWorker(w *worker, endpoint Worker) {
-	w.state = endpoint.State
-	assumedAt := w.process.assumedAt
-	w.process, w.certainProcess = r.newListedProcess(endpoint), nil
-	if w.state == Removed {
+	if !w.isSameProcess(endpoint) {
+		assumedAt := w.process.assumedAt
+		w.process, w.certainProcess = r.newListedProcess(endpoint), nil
+		w.process.assumedAt = assumedAt
+	}
+	if w.state = endpoint.State; w.state == Removed {
 		return
 	}
-	w.process.assumedAt = assumedAt
 	if endpoint.StartedAt != w.startedAt {
 		r.resetProcess(w)
 	}
 	r.setEndpoint(w, endpoint)
 }
 
+// isSameProcess reports whether messages sent after an update of w reach the same process as before. Hosts close the connections to
+// a worker that drains.
+func (w *worker) isSameProcess(endpoint Worker) bool {
+	isSameAddress := w.address == endpoint.Address && w.startedAt == endpoint.StartedAt
+	return isSameAddress && w.state == endpoint.State && w.process.group == groupOf(endpoint)
+}
+
 func (r *Router) setEndpoint(w *worker, endpoint Worker) {
 	w.machine = r.machineStatsOf(endpoint.MachineType)
 	w.weight = max(endpoint.Weight, minWorkerWeight)
-	w.startedAt = endpoint.StartedAt
+	w.startedAt, w.address = endpoint.StartedAt, endpoint.Address
 }
 
 // resetProcess resets what does not apply to a new process: replicas, limits and ejection. Slow start credits begin
--- a/control/host.go
+++ b/control/host.go
@@ -15,6 +15,7 @@
 // Worker is an entry of the endpoint list.
 type Worker struct {
 	ID            WorkerID
+	Address       string // another address is that of another process
 	Zone          ZoneID
 	MachineType   MachineType
 	FailureDomain int
--- a/control/repeat_safety.go
+++ b/control/repeat_safety.go
@@ -14,6 +14,11 @@
 	failureDomain int
 }
 
+// groupOf returns the deduplication group of an entry of the endpoint list.
+func groupOf(endpoint Worker) deduplicationGroup {
+	return deduplicationGroup{zone: endpoint.Zone, failureDomain: endpoint.FailureDomain}
+}
+
 // inSameScope reports whether the workers of two groups share idempotency keys under scope.
 func inSameScope(scope DeduplicationScope, a, b deduplicationGroup) bool {
 	switch scope {
--- a/control/worker.go
+++ b/control/worker.go
@@ -10,6 +10,7 @@
 	state     EndpointState
 	weight    float64
 	startedAt units.Seconds
+	address   string
 	process   *process // that messages to the worker reach
 	// certainProcess is the process that the earlier connections reach, while it is uncertain whether process is the same one;
 	// nil otherwise.
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -39,8 +39,7 @@
 // identified only once the list was confirmed after the process had responded. Before that, messages may reach another process at
 // its address.
 func (r *Router) newListedProcess(endpoint Worker) *process {
-	group := deduplicationGroup{zone: endpoint.Zone, failureDomain: endpoint.FailureDomain}
-	return &process{group: group, identified: !r.hasLeases()}
+	return &process{group: groupOf(endpoint), identified: !r.hasLeases()}
 }
 
 // identifyProcess records that the endpoint list, with w on it, was complete at asOf or later. A process that had responded
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -85,14 +85,16 @@
 // sent it every request. The first attempts must be within the budget of a process that starts with the outage.
 func TestSlowStart_UnconnectedWorkerInOutage(t *testing.T) {
 	for name, connect := range map[string]func(h *leaseHost){
-		"warm, used before the last list":   func(h *leaseHost) { h.connectAll(); h.confirmList() },
-		"never used":                        func(*leaseHost) {},
-		"used and idle before the outage":   func(h *leaseHost) { h.connectAll(); h.disconnectAll(); h.confirmList() },
-		"disconnected after the last list":  func(h *leaseHost) { h.connectAll(); h.confirmList(); h.disconnectAll() },
-		"listed anew, not used since":       func(h *leaseHost) { h.connectAll(); h.listAgain(); h.confirmList() },
-		"used just after the last list":     func(h *leaseHost) { h.confirmList(); h.connectAll() },
-		"first used a lease after it":       func(h *leaseHost) { h.confirmList(); h.now += testDrainGrace; h.connectAll() },
-		"suspended since before the outage": func(h *leaseHost) { h.now += 60 },
+		"warm, used before the last list":     func(h *leaseHost) { h.connectAll(); h.confirmList() },
+		"never used":                          func(*leaseHost) {},
+		"used and idle before the outage":     func(h *leaseHost) { h.connectAll(); h.disconnectAll(); h.confirmList() },
+		"disconnected after the last list":    func(h *leaseHost) { h.connectAll(); h.confirmList(); h.disconnectAll() },
+		"other address, not used since":       func(h *leaseHost) { h.connectAll(); h.list(Worker{Address: "b"}); h.confirmList() },
+		"returned to service, not used since": func(h *leaseHost) { h.connectAll(); h.list(Worker{State: Draining}); h.list(Worker{}); h.confirmList() },
+		"warm, listed with another weight":    func(h *leaseHost) { h.connectAll(); h.confirmList(); h.list(Worker{Weight: 2}) },
+		"used just after the last list":       func(h *leaseHost) { h.confirmList(); h.connectAll() },
+		"first used a lease after it":         func(h *leaseHost) { h.confirmList(); h.now += testDrainGrace; h.connectAll() },
+		"suspended since before the outage":   func(h *leaseHost) { h.now += 60 },
 	} {
 		h := newUnconnectedHost()
 		connect(h)
@@ -154,15 +156,16 @@
 	deployment.EndpointLeases, deployment.DrainGrace = true, testDrainGrace
 	h.router = New(deployment, 1, h, h.now)
 	h.router.Start()
-	h.listAgain()
+	h.list(Worker{})
 	h.confirmList()
 	h.router.queriesShowDrains = true
 	return h
 }
 
-// listAgain sends the router a list of one worker.
-func (h *leaseHost) listAgain() {
-	h.router.OnEndpointUpdate(h.now, Snapshot, []Worker{{ID: "w0", Weight: 1}})
+// list sends the router a list of one worker.
+func (h *leaseHost) list(worker Worker) {
+	worker.ID, worker.Weight = "w0", max(worker.Weight, 1)
+	h.router.OnEndpointUpdate(h.now, Snapshot, []Worker{worker})
 }
 
 // confirmList confirms the list a little later.
@@ -212,7 +215,7 @@
 		deployment.PollEndpoints, deployment.PollLease, deployment.DrainGrace = true, 40, testDrainGrace
 		h.router = New(deployment, 1, h, h.now)
 		h.router.Start()
-		h.listAgain()
+		h.list(Worker{})
 		h.router.OnEndpointPollFailed(h.now)
 		if c.isSubscribed {
 			h.router.OnEndpointPollSucceeded(h.now)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -133,6 +133,7 @@
 			}
 			known[key], worker.StartedAt = startedAt, units.Seconds(startedAt)
 		}
+		worker.Address = h.Address
 		list.Addresses[worker.ID] = h.Address
 		list.Workers = append(list.Workers, worker)
 	}
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -73,7 +73,7 @@
 		t.Fatal(err)
 	}
 	list := discovery.EndpointList(1000, 900)
-	want := control.Worker{ID: "a", Zone: "east", MachineType: "std", FailureDomain: 2, Weight: 4, StartedAt: 105}
+	want := control.Worker{ID: "a", Address: "10.0.0.1:9", Zone: "east", MachineType: "std", FailureDomain: 2, Weight: 4, StartedAt: 105}
 	if list.Workers[0] != want || list.Addresses["a"] != "10.0.0.1:9" {
 		t.Errorf("%+v", list)
 	}
--- a/internal/upstream/endpoint_list.go
+++ b/internal/upstream/endpoint_list.go
@@ -103,6 +103,7 @@
 			p.errorf(path, "worker %q is listed twice", worker.ID)
 			continue
 		}
+		worker.Address = target
 		p.list.Addresses[worker.ID] = target
 		p.list.Workers = append(p.list.Workers, worker)
 	}
