Starts of workers are not taken as reported once the watch is known to be interrupted

Found by a wider generator; no caller has reported it.

What callers would see: a front end, or some, lose the watch while the discovery service goes on. A worker that had died returns cold at its address.

Cause: after the end of the watch the list stays valid for a lease, because a drain that the list lacks has a grace. A cold start has none: its event counts from the time at which the service holds it, whether or not the front end is connected.

Change: slow start goes by what is known of the process from the end of the watch on, until the list is confirmed again. Leases, queries and keys of idempotency are as before, and so are polled lists.

Restarted front ends of the simulation begin with the starts that they had been sent; before, they were told of unreported ones.

--- a/control/endpoint_lease.go
+++ b/control/endpoint_lease.go
@@ -36,7 +36,7 @@
 	// uninterruptedSince is the time since which the list has been valid without an interruption of the watch.
 	uninterruptedSince units.Seconds
 	interrupted        bool // the watch was interrupted, or the process suspended, since the last confirmation
-	wasAvailable       bool // discovery was available at the last input
+	reportedStarts     bool // starts were reported at the last input
 	// subscribed is set once a poll has succeeded: changes are pushed from then on.
 	subscribed bool
 }
@@ -76,7 +76,8 @@
 		w.lease.drainConfirmed, w.lease.drainSeenAt = false, 0
 		w.identifyProcess(asOf)
 	}
-	if r.discovery.wasAvailable = r.isDiscoveryAvailable(); r.discovery.wasAvailable {
+	r.discovery.reportedStarts = r.areStartsReported()
+	if r.isDiscoveryAvailable() {
 		r.releaseAllWaiters(func(*worker) bool { return true })
 	}
 	r.applyRules()
@@ -88,6 +89,7 @@
 	r.advance(now)
 	r.discovery.expiresAt = min(r.discovery.expiresAt, now+r.leaseDuration())
 	r.discovery.interrupted = true
+	r.checkStartsReported()
 	r.endpointRulesDue = true
 	r.applyRules()
 }
@@ -99,11 +101,7 @@
 		r.discovery.expiresAt, r.discovery.suspendedAt, r.discovery.interrupted = 0, now, true
 	}
 	r.now = now
-	isAvailable := r.isDiscoveryAvailable()
-	if r.discovery.wasAvailable && !isAvailable {
-		r.onDiscoveryLost()
-	}
-	r.discovery.wasAvailable = isAvailable
+	r.checkStartsReported()
 }
 
 // leaseDuration returns the time for which an accepted message confirms a lease.
@@ -123,6 +121,13 @@
 	}
 }
 
+// areStartsReported reports whether discovery would have reported the start of a worker. Unlike a drain, which has a grace, a start
+// counts from its event on, so that the list shows none once the watch is known to be interrupted.
+func (r *Router) areStartsReported() bool {
+	isInterrupted := r.deployment.EndpointLeases && r.discovery.interrupted
+	return r.isDiscoveryAvailable() && !isInterrupted
+}
+
 // hasLeases reports whether the endpoint list may expire.
 func (r *Router) hasLeases() bool { return r.deployment.EndpointLeases || r.deployment.PollLease > 0 }
 
--- a/control/outage_fleet_test.go
+++ b/control/outage_fleet_test.go
@@ -39,7 +39,7 @@
 		case step == outageEnd:
 			fleet.endOutage()
 		case step > outageEnd && step < 1500 && rnd.Intn(200) == 0:
-			fleet.beginOutage()
+			fleet.beginOutage(fleet.frontEnds...)
 			outageEnd = step + 1 + rnd.Intn(600)
 		case !fleet.discoveryDown && step%100 == 0:
 			fleet.sendHeartbeats()
@@ -71,7 +71,7 @@
 	var endpoints []Worker
 	for _, worker := range s.workers {
 		endpoint := worker.Worker
-		endpoint.State = worker.listedState[f.index]
+		endpoint.State, endpoint.StartedAt = worker.listedState[f.index], units.Seconds(worker.listedStart[f.index])
 		if endpoint.State != Removed {
 			endpoints = append(endpoints, endpoint)
 		}
@@ -82,27 +82,28 @@
 	}
 }
 
-// beginOutage isolates all front ends from discovery, after a last list.
-func (s *simulatedFleet) beginOutage() {
+// beginOutage isolates front ends from discovery, after a last list.
+func (s *simulatedFleet) beginOutage(isolated ...*simulatedFrontEnd) {
 	s.sendHeartbeats()
 	s.discoveryDown, s.outageStartedAt = true, s.now
-	for _, f := range s.frontEnds {
+	for _, f := range isolated {
+		f.isolated = true
 		f.router.OnDiscoveryUnavailable(s.now)
 	}
 }
 
 func (s *simulatedFleet) endOutage() {
 	s.discoveryDown = false
+	for _, f := range s.frontEnds {
+		f.isolated = false
+	}
 	s.sendHeartbeats()
 }
 
-// sendHeartbeats sends all front ends what has changed in the list, and a heartbeat.
-func (s *simulatedFleet) sendHeartbeats() { s.sendHeartbeatsExcept(nil) }
-
-// sendHeartbeatsExcept is sendHeartbeats for all front ends but one.
-func (s *simulatedFleet) sendHeartbeatsExcept(isolated *simulatedFrontEnd) {
+// sendHeartbeats sends what has changed in the list, and a heartbeat, to all front ends that are not isolated from discovery.
+func (s *simulatedFleet) sendHeartbeats() {
 	for _, f := range s.frontEnds {
-		if f != isolated {
+		if !f.isolated {
 			f.sendListChanges()
 			f.router.OnDiscoveryAvailable(s.now, s.now)
 		}
@@ -127,7 +128,7 @@
 // reported.
 func (f *simulatedFrontEnd) checkUnreportedDrain(message string, worker *simulatedWorker) {
 	s := f.fleet
-	if !s.discoveryDown || worker.State != Draining || s.now <= worker.drainedAt+s.deployment.DrainGrace {
+	if !f.isolated || worker.State != Draining || s.now <= worker.drainedAt+s.deployment.DrainGrace {
 		return
 	}
 	worker.sendsAfterGrace[f.index]++
--- a/control/outage_replacement_test.go
+++ b/control/outage_replacement_test.go
@@ -9,9 +9,9 @@
 	"streamcleat/internal/units"
 )
 
-// With random discovery outages, before or in which workers terminate and return cold at their addresses without a report, no
-// worker is pushed over while it warms up. Front ends begin an outage with connections to some workers only: functions come into use and
-// go out of it, and idle connections are closed.
+// With random discovery outages, before or in which workers terminate and return cold at their addresses, no worker is pushed
+// over while it warms up. The outages isolate all front ends or some. Front ends begin an outage with connections to some workers
+// only: functions come into use and go out of it, and idle connections are closed.
 func TestRouter_ColdWorkersDuringOutages(t *testing.T) {
 	holds := func(seed int64) bool {
 		fleet := runRandomReplacements(seed)
@@ -33,6 +33,7 @@
 	functions []FunctionID // in use, by front end
 	rate      float64      // requests per second to all front ends together
 	outageEnd int          // step
+	isolated  int          // number of front ends that the outage isolates: the first ones
 }
 
 // Steps of a run. Some workers terminate before the outage begins, so that they are still listed when they return during it.
@@ -55,14 +56,17 @@
 	run.functions = make([]FunctionID, deployment.FrontEnds)
 	run.useOtherFunctions()
 	run.outageEnd = outageStart + 800 + rnd.Intn(2000)
+	if run.isolated = deployment.FrontEnds; rnd.Intn(2) == 0 {
+		run.isolated = rnd.Intn(deployment.FrontEnds)
+	}
 	for step := range steps {
 		run.advance(stepSeconds)
 		switch {
 		case step == outageStart:
-			run.beginOutage()
+			run.beginOutage(run.frontEnds[:run.isolated]...)
 		case step == run.outageEnd:
 			run.endOutage()
-		case !run.discoveryDown && step%100 == 0:
+		case step%100 == 0:
 			run.sendHeartbeats()
 		}
 		run.step(step)
@@ -87,6 +91,7 @@
 		r.terminateForAWhile(worker)
 	case r.discoveryDown && r.rnd.Intn(400) == 0 && worker.State == Serving:
 		worker.State, worker.drainedAt, worker.sendsAfterGrace = Draining, r.now, map[int]int{}
+		r.sendHeartbeats()
 	case r.discoveryDown && r.rnd.Intn(1500) == 0:
 		f.restart(uint64(step))
 	}
@@ -107,5 +112,8 @@
 // terminateForAWhile terminates a worker, which returns cold after some seconds.
 func (r *replacementRun) terminateForAWhile(worker *simulatedWorker) {
 	r.terminate(worker)
-	r.after(units.Seconds(2.5+r.rnd.Float64()*5), func() { r.returnCold(worker) })
+	r.after(units.Seconds(2.5+r.rnd.Float64()*5), func() {
+		r.returnCold(worker)
+		r.sendHeartbeats()
+	})
 }
--- a/control/peer_confirmations_test.go
+++ b/control/peer_confirmations_test.go
@@ -42,15 +42,12 @@
 		fleet.deployment.GossipAllowed = hasPeers
 		fleet.sendAtInterval(5, 0.05, 2)
 		isolated, drained := fleet.frontEnds[0], fleet.workers[seed%int64(len(fleet.workers))]
-		fleet.discoveryDown = true
-		isolated.router.OnDiscoveryUnavailable(fleet.now)
+		fleet.beginOutage(isolated)
 		drained.State, drained.drainedAt, drained.sendsAfterGrace = Draining, fleet.now, map[int]int{}
-		listed := drained.listedState[0]
-		fleet.sendHeartbeatsExcept(isolated)
+		fleet.sendHeartbeats()
 		fleet.advanceSteps(100)
-		drained.listedState[0] = listed
 		isolated.restart(uint64(seed))
-		requests := fleet.sendWithHeartbeats(5, 80, isolated)
+		requests := fleet.sendWithHeartbeats(5, 80)
 		sent += drained.sendsAfterGrace[0]
 		for _, req := range requests {
 			if req.succeeded {
@@ -76,13 +73,13 @@
 	return fleet
 }
 
-// sendWithHeartbeats sends requests at an interval, while discovery is available to all front ends but one, and waits for the
-// last ones.
-func (s *simulatedFleet) sendWithHeartbeats(functions, count int, isolated *simulatedFrontEnd) (requests []*clientRequest) {
+// sendWithHeartbeats sends requests at an interval, while discovery is available to the front ends that are not isolated, and waits
+// for the last ones.
+func (s *simulatedFleet) sendWithHeartbeats(functions, count int) (requests []*clientRequest) {
 	const heartbeatEvery, waiting = 10, 80
 	for i := range count + waiting {
 		if i%heartbeatEvery == 0 {
-			s.sendHeartbeatsExcept(isolated)
+			s.sendHeartbeats()
 		}
 		if s.advance(0.05); i >= count {
 			continue
@@ -212,11 +209,7 @@
 		fleet := newSparseFleet(seed)
 		fleet.drainingRespondsToQueries = false
 		fleet.sendAtInterval(8, 0.02, 2)
-		fleet.sendHeartbeats()
-		fleet.discoveryDown = true
-		for _, f := range fleet.frontEnds {
-			f.router.OnDiscoveryUnavailable(fleet.now)
-		}
+		fleet.beginOutage(fleet.frontEnds...)
 		drained := fleet.workers[:4]
 		for _, w := range drained {
 			w.State, w.drainedAt, w.sendsAfterGrace = Draining, fleet.now, map[int]int{}
--- a/control/simulated_fleet_test.go
+++ b/control/simulated_fleet_test.go
@@ -20,7 +20,7 @@
 	scheduled  []scheduledCall
 	violation  string
 
-	discoveryDown             bool // discovery is unavailable
+	discoveryDown             bool // discovery is unavailable to some front ends
 	outageStartedAt           units.Seconds
 	toleratesVariation        bool // checks of reported cold workers have the tolerance of the platform's rules, otherwise none
 	drainingRespondsToQueries bool // draining workers accept queries instead of rejecting them
--- a/control/simulated_front_end_test.go
+++ b/control/simulated_front_end_test.go
@@ -11,6 +11,7 @@
 	fleet        *simulatedFleet
 	index        int
 	router       *Router
+	isolated     bool // discovery is unavailable to it
 	requests     map[RequestID]*clientRequest
 	requestTimes []units.Seconds
 	loadTimes    []units.Seconds
--- a/control/simulated_worker_test.go
+++ b/control/simulated_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"streamcleat/internal/units"
 )
@@ -53,10 +54,11 @@
 }
 
 // checkUnreportedStart checks that all front ends together do not push a worker over that has started cold during a discovery
-// outage. The start counts as received a few seconds after the outage began.
+// outage. The start counts as received a few seconds after the outage of the service began; if only some front ends can't reach
+// it, the service has the event.
 func (s *simulatedFleet) checkUnreportedStart(worker *simulatedWorker) {
 	age := s.now - units.Seconds(worker.actualStart)
-	isReceived := s.now >= s.outageStartedAt+outageNoticeSeconds
+	isReceived := s.now >= s.outageStartedAt+outageNoticeSeconds || !s.allIsolated()
 	if !s.discoveryDown || !isReceived || worker.actualStart <= 0 || age >= s.deployment.WarmUpTime {
 		return
 	}
@@ -73,6 +75,11 @@
 	}
 }
 
+// allIsolated reports whether discovery is unavailable to all front ends.
+func (s *simulatedFleet) allIsolated() bool {
+	return !slices.ContainsFunc(s.frontEnds, func(f *simulatedFrontEnd) bool { return !f.isolated })
+}
+
 // warmUpTolerance returns the number of attempts in excess of its capacity within a window that a cold worker survives.
 func warmUpTolerance(capacity float64) float64 {
 	if capacity < smallCapacity {
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -133,7 +133,7 @@
 		return
 	}
 	w.process, w.certainProcess = &process{group: w.process.group, assumedAt: r.now}, nil
-	if !r.isDiscoveryAvailable() {
+	if !r.areStartsReported() {
 		r.restartSlowStart(w)
 	}
 }
@@ -158,13 +158,16 @@
 	}
 }
 
-// onDiscoveryLost begins the slow start of the workers that may have been replaced since discovery last confirmed the list.
-func (r *Router) onDiscoveryLost() {
+// checkStartsReported begins the slow start of the workers that may have been replaced since discovery last confirmed the list,
+// once it would no longer report that.
+func (r *Router) checkStartsReported() {
+	areReported := r.areStartsReported()
 	for _, w := range r.workers {
-		if !r.isStartKnown(w) {
+		if r.discovery.reportedStarts && !areReported && !r.isStartKnown(w) {
 			r.restartSlowStart(w)
 		}
 	}
+	r.discovery.reportedStarts = areReported
 }
 
 // restartSlowStart resets the slow start credits of w to those of a process that just started.
@@ -174,7 +177,7 @@
 
 // isStartKnown reports whether the process at the address of w is known to have started when the endpoint list says.
 func (r *Router) isStartKnown(w *worker) bool {
-	return r.isDiscoveryAvailable() || r.isStartShown(w.process)
+	return r.areStartsReported() || r.isStartShown(w.process)
 }
 
 // isStartShown is isStartKnown by what this front end and its peers received from p itself.
@@ -230,7 +233,7 @@
 
 // coldSince returns the latest time at which the process at the address of w may have started; 0 if it is long past.
 func (r *Router) coldSince(w *worker) units.Seconds {
-	if r.isDiscoveryAvailable() {
+	if r.areStartsReported() {
 		return w.startedAt
 	}
 	return r.shownColdSince(w)
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// Guards against a cold worker that is pushed over by front ends whose watch was interrupted: the list is valid for a lease longer, as
+// a drain has a grace, but the start of a process counts from its event on.
+func TestSlowStart_InterruptedWatch(t *testing.T) {
+	for name, c := range map[string]struct {
+		play      func(h *leaseHost)
+		isLimited bool
+	}{
+		"interrupted":               {func(h *leaseHost) { h.router.OnDiscoveryUnavailable(h.now) }, true},
+		"suspended":                 {func(h *leaseHost) { h.now += 2 * maxInputGapSeconds }, true},
+		"interrupted and heard":     {func(h *leaseHost) { h.router.OnDiscoveryUnavailable(h.now); h.confirmList() }, false},
+		"interrupted, known before": {func(h *leaseHost) { h.connectAll(); h.confirmList(); h.router.OnDiscoveryUnavailable(h.now) }, false},
+	} {
+		h := newUnconnectedHost()
+		c.play(h)
+		for i := range 40 {
+			h.request(RequestID(fmt.Sprint(name, i)))
+			h.respondToAll()
+		}
+		if isLimited := len(h.attempts) <= 1; isLimited != c.isLimited {
+			t.Errorf("%s: %d attempts", name, len(h.attempts))
+		}
+	}
+}
+
 // Guards against a cold worker that is pushed over behind a second connection: a machine that vanishes leaves the first one open and
 // silent, and the second one reaches the process that has taken the address. Until the first one is known to be alive, attempts
 // are within the budget of a process that has just started.
