In an outage, a list shows a process that was connected 2 s before, as starts come late

Found by a wider generator; no caller has reported it.

What callers would see: a worker returns cold up to 2 s before an outage, front ends reconnect to it at once, and the outage begins before its start is listed. They use it like a warm one through the outage.

Cause: a process that had responded at the time of one complete list counted as the listed one.

Change: for slow start, a list shows the processes that had responded 2 s before it. Keys of idempotency are as before: a worker that returns has its own name and so its group, and the keys' rule concerns successors, which come after the end of their predecessor was reported.

Evidence: starts in TestRouter_ColdWorkersDuringOutages are listed up to 2 s late, by the run. Two cases which asked that one list after a response shows a process ask for the opposite, and have twins with the list 2 s later; fixtures of the outage tests let these 2 s pass.

--- a/control/endpoint_lease_test.go
+++ b/control/endpoint_lease_test.go
@@ -80,14 +80,15 @@
 	}
 	h.router.OnEndpointUpdate(h.now, Snapshot, endpoints)
 	h.router.OnDiscoveryAvailable(h.now, h.now)
-	h.request("first")
-	h.home = h.router.functionsByID["f"].pendingLoadOn.id
-	h.loaded(h.home)
-	h.endAttempt("first", h.home, Succeeded, 0.1)
 	for _, w := range h.router.workers {
 		h.router.onReply(w, w.process, Succeeded)
 	}
+	h.advance(listingDelaySeconds)
 	h.router.OnDiscoveryAvailable(h.now, h.now)
+	h.request("first")
+	h.home = h.router.functionsByID["f"].pendingLoadOn.id
+	h.loaded(h.home)
+	h.endAttempt("first", h.home, Succeeded, 0.1)
 	h.clear()
 	return h
 }
--- a/control/simulated_fleet_test.go
+++ b/control/simulated_fleet_test.go
@@ -22,8 +22,9 @@
 
 	discoveryDown             bool // discovery is unavailable to some front ends
 	outageStartedAt           units.Seconds
-	toleratesVariation        bool // checks of reported cold workers have the tolerance of the platform's rules, otherwise none
-	drainingRespondsToQueries bool // draining workers accept queries instead of rejecting them
+	listingDelay              units.Seconds // from the start of a worker until discovery lists it
+	toleratesVariation        bool          // checks of reported cold workers have the tolerance of the platform's rules, otherwise none
+	drainingRespondsToQueries bool          // draining workers accept queries instead of rejecting them
 }
 
 type scheduledCall struct {
--- a/control/simulated_front_end_test.go
+++ b/control/simulated_front_end_test.go
@@ -85,6 +85,9 @@
 func (f *simulatedFrontEnd) sendListChanges() {
 	var changed []Worker
 	for _, worker := range f.fleet.workers {
+		if !f.fleet.isStartListed(worker) {
+			continue
+		}
 		if worker.listedState[f.index] != worker.State || worker.listedStart[f.index] != float64(worker.StartedAt) {
 			worker.listedState[f.index], worker.listedStart[f.index] = worker.State, float64(worker.StartedAt)
 			changed = append(changed, worker.Worker)
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -9,6 +9,9 @@
 // counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has passed since its first
 // response.
 
+// listingDelaySeconds is the longest time from the start of a worker until discovery lists it.
+const listingDelaySeconds = 2.0
+
 // process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
 // entry in the endpoint list to the next.
 type process struct {
@@ -23,6 +26,8 @@
 	peerWarmAt units.Seconds
 	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
 	identified bool
+	// listedAt is the latest time after its first response at which the endpoint list was complete; 0: none.
+	listedAt units.Seconds
 	// confirmedAs is the same process as it was known before it became uncertain; nil if it was not, or is still so.
 	confirmedAs *process
 }
@@ -57,6 +62,7 @@
 func (p *process) identify(asOf units.Seconds) {
 	if p.repliedAt > 0 && p.repliedAt <= asOf {
 		p.identified = true
+		p.listedAt = max(p.listedAt, asOf)
 	}
 }
 
@@ -124,6 +130,7 @@
 		p.connectedAt = other.connectedAt
 	}
 	p.aliveAt = max(p.aliveAt, other.aliveAt)
+	p.listedAt = max(p.listedAt, other.listedAt)
 	p.peerWarmAt = max(p.peerWarmAt, other.peerWarmAt)
 }
 
@@ -181,7 +188,10 @@
 }
 
 // isStartShown is isStartKnown by what this front end and its peers received from p itself.
-func (r *Router) isStartShown(p *process) bool { return p.identified || r.isWarmAtPeer(p) }
+func (r *Router) isStartShown(p *process) bool {
+	isListed := p.listedAt > 0 && p.listedAt >= p.repliedAt+listingDelaySeconds
+	return isListed || r.isWarmAtPeer(p)
+}
 
 // isWarmAtPeer reports whether a peer knew p as warm while p was connected or within a lease before. A lease is shorter than the
 // time in which a process is replaced.
