Slow start in outages: a process goes on to get the rate that it has sustained

Cause: slow start allowed what the mean warm worker of a type had taken, whatever a worker had taken itself.

If it was cold then and that had been too much, it would have fallen. Another process at its address gets none of it. The time of the first message, not that of the first response, dates a process: it was there when the connection was.

Rates of front ends add up because they are those of the same time.

--- a/control/router.go
+++ b/control/router.go
@@ -124,6 +124,7 @@
 	r.decayReportedLoads(elapsed)
 	r.grantSlowStartCredits(elapsed)
 	r.updateMachineRates(elapsed)
+	r.updateAttemptRates(elapsed)
 	r.rebroadcastDrains(elapsed)
 	r.requestMissingConfirmations()
 	r.removeIdleFunctions(idleFunctionSeconds)
--- a/control/slow_start.go
+++ b/control/slow_start.go
@@ -35,7 +35,18 @@
 	windowStart := max(r.now-r.deployment.OverloadWindow, r.coldSince(w))
 	fraction := slowStartBudgetFraction * r.deployment.OverloadFactor * r.warmUpProgress(w, windowStart)
 	budget := float64(units.Seconds(fraction)*r.deployment.OverloadWindow) * w.machine.peakRate
-	return max(budget, 1/float64(r.deployment.FrontEnds))
+	return max(budget, r.sustainedBudget(w), 1/float64(r.deployment.FrontEnds))
+}
+
+// sustainedBudget returns the number of attempts within an overload window that the process at the address of w can take because
+// it has taken them before: if it was cold then, it would have been overloaded by more, and its capacity has grown since.
+func (r *Router) sustainedBudget(w *worker) float64 {
+	p := w.process
+	if p.sustainedRate == 0 {
+		return 0
+	}
+	growth := r.warmUpProgress(w, r.now) / r.warmUpProgress(w, p.sustainedAt)
+	return p.sustainedRate * growth * float64(r.deployment.OverloadWindow)
 }
 
 // hasSlowStartCredit reports whether w may receive another attempt. Unused credits expire. Otherwise all front ends would
@@ -55,6 +66,7 @@
 func (r *Router) useSlowStartCredit(w *worker) {
 	maxSaved := (1 - creditFraction) * r.slowStartBudget(w)
 	w.usedCredits = max(w.usedCredits+1, w.grantedCredits-maxSaved)
+	w.process.attempts++
 }
 
 // grantSlowStartCredits grants the credits for the elapsed time to the workers that are warming up.
@@ -66,6 +78,15 @@
 	}
 }
 
+// updateAttemptRates updates the rates of attempts on the processes from the attempts since the last tick.
+func (r *Router) updateAttemptRates(elapsed units.Seconds) {
+	weight := min(float64(elapsed/max(r.deployment.OverloadWindow, elapsed)), 1)
+	for _, w := range r.workers {
+		w.process.attemptRate += weight * (w.process.attempts/float64(elapsed) - w.process.attemptRate)
+		w.process.attempts = 0
+	}
+}
+
 // updateMachineRates updates the observed rates of the machine types from the successful attempts since the last tick. The rate is
 // that of the mean worker, so that the rates of all front ends add up to no more than the capacity of one. Workers that may be
 // cold only because nothing shows who is at their address count for it, although their attempts do not.
--- a/control/slow_start_test.go
+++ b/control/slow_start_test.go
@@ -158,3 +158,37 @@
 		}
 	}
 }
+
+// Guards against fleets that serve little in an outage shortly after a start: a process that may be cold is sent what it has taken
+// before, and more as its capacity grows. Another process at its address is not.
+func TestSlowStart_SustainedRate(t *testing.T) {
+	const rate = 20.0
+	for name, c := range map[string]struct {
+		prepare        func(h *leaseHost)
+		minRate, limit float64 // attempts per second
+	}{
+		"same process":         {func(*leaseHost) {}, rate / 2, rate},
+		"same process, later":  {func(h *leaseHost) { h.advance(5) }, rate, 3 * rate},
+		"other process":        {(*leaseHost).disconnectAll, 0, 1},
+		"later connection":     {func(h *leaseHost) { h.router.OnProcessUncertain(h.now, "w0") }, 0, 1},
+		"the same, verified":   {func(h *leaseHost) { h.router.OnProcessUncertain(h.now, "w0"); h.router.OnProcessConfirmed(h.now, "w0") }, rate / 2, rate},
+		"started since":        {func(h *leaseHost) { h.listWorker(Worker{ID: "w0", StartedAt: h.now}) }, 0, 1},
+		"listed with a weight": {func(h *leaseHost) { h.listWorker(Worker{ID: "w0", Weight: 3}) }, rate / 2, rate},
+	} {
+		h := newUnconnectedHost()
+		h.connectAll()
+		w := h.router.workersByID["w0"]
+		for range 6 {
+			for range int(rate * tickSeconds) {
+				h.router.useSlowStartCredit(w)
+			}
+			h.advance(tickSeconds)
+			h.router.OnDiscoveryAvailable(h.now, h.now)
+		}
+		h.router.OnDiscoveryUnavailable(h.now)
+		c.prepare(h)
+		if got := h.router.slowStartBudget(w) / float64(h.router.deployment.OverloadWindow); got < c.minRate || got > c.limit {
+			t.Errorf("%s: %.1f attempts per second", name, got)
+		}
+	}
+}
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -27,7 +27,12 @@
 	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
 	identified bool
 	// listedAt is the latest time after its first response at which the endpoint list was complete; 0: none.
-	listedAt units.Seconds
+	listedAt    units.Seconds
+	attempts    float64 // since the last tick
+	attemptRate float64 // moving average of attempts per second
+	// sustainedRate is the rate of attempts that it served before sustainedAt, when its start was taken as reported; 0: none.
+	sustainedRate float64
+	sustainedAt   units.Seconds
 	// confirmedAs is the same process as it was known before it became uncertain; nil if it was not, or is still so.
 	confirmedAs *process
 }
@@ -172,6 +177,7 @@
 	for _, w := range r.workers {
 		if r.discovery.reportedStarts && !areReported && !r.isStartKnown(w) {
 			r.restartSlowStart(w)
+			w.process.sustainedRate, w.process.sustainedAt = w.process.attemptRate, r.now
 		}
 	}
 	r.discovery.reportedStarts = areReported
@@ -189,7 +195,7 @@
 
 // isStartShown is isStartKnown by what this front end and its peers received from p itself.
 func (r *Router) isStartShown(p *process) bool {
-	isListed := p.listedAt > 0 && p.listedAt >= p.repliedAt+listingDelaySeconds
+	isListed := p.listedAt > 0 && p.listedAt >= p.connectedAt+listingDelaySeconds
 	return isListed || r.isWarmAtPeer(p)
 }
 
@@ -257,6 +263,6 @@
 	case w.process.repliedAt == 0:
 		return r.now
 	default:
-		return w.process.repliedAt
+		return w.process.connectedAt
 	}
 }
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -200,6 +200,11 @@
 	h.router.OnEndpointUpdate(h.now, Snapshot, []Worker{worker})
 }
 
+// listWorker sends the router the entry of one worker.
+func (h *leaseHost) listWorker(worker Worker) {
+	h.router.OnEndpointUpdate(h.now, Delta, []Worker{worker})
+}
+
 // confirmList confirms the list a little later.
 func (h *leaseHost) confirmList() {
 	h.now += 0.01
