In an outage, front ends query some workers that may be cold before they need them

What callers see: a front end without peers serves next to nothing in an outage once it needs workers that it was not connected to as the outage began, although they are well.

Cause: such a worker counts as cold for the warm-up time, from the first contact on, and the first contact came with the first need.

Change: once starts are not reported, a front end queries workers that may be cold (load commands for no replicas, which the rule on draining workers exempts), and again every 4 s, so that the connections stay open: 16 workers at most, and no worker by more than 32 front ends or so. It does so only on the platform, where load commands are allowed and after a first request.

--- a/control/router_state.go
+++ b/control/router_state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"slices"
 
 	"streamcleat/internal/units"
@@ -37,6 +38,7 @@
 	queriesShowDrains   bool
 	startedAt           units.Seconds
 	confirmationRequest confirmationRequest
+	firstContact        int // slot of the first worker that is queried early
 
 	meanLoadsUpdatedAt units.Seconds
 	meanLoad           float64 // mean load of the serving workers
@@ -69,6 +71,7 @@
 		workersByID:          map[WorkerID]*worker{},
 		workersByDigest:      map[uint32]*worker{},
 		admissionProbability: maxAdmissionProbability,
+		firstContact:         int(seed & math.MaxInt32),
 	}
 }
 
--- a/control/rules.go
+++ b/control/rules.go
@@ -25,6 +25,7 @@
 	(*Router).abandonLostLoads,
 	(*Router).renewLease,
 	(*Router).queryRejectingWorker,
+	(*Router).contactWorker,
 	(*Router).sendDelayedQuery,
 }
 
