Fake workers of the node tests and of nodesim answer pings

The front end pings connections in outages since, and the protocol has workers answer (code 70). Only the soak's did. Nothing was checked less: a ping does not count among the replies that a test waits for.

Result: the tests of internal/node and nodetest pass.

--- a/internal/verification/nodesim/workers.go
+++ b/internal/verification/nodesim/workers.go
@@ -110,6 +110,8 @@
 		if a := w.attempts[frame.ID()]; a != nil && a.conn == c {
 			delete(w.attempts, frame.ID())
 		}
+	case workerframes.CommandPing:
+		c.send(frame.Reply(workerframes.ReplyPong, "", nil))
 	case workerframes.CommandLoad:
 		w.lastLoadID = frame.ID()
 		s.After(s.upTo(maxLoadTime), func() { c.send(frame.Reply(workerframes.ReplySucceeded, nodetest.OneReplica, nil)) })
--- a/internal/verification/nodetest/worker.go
+++ b/internal/verification/nodetest/worker.go
@@ -112,7 +112,8 @@
 	}
 }
 
-// reply replies to a frame, with workerframes.ReplySucceeded if replyCode is nil, and reports whether a reply was sent.
+// reply replies to a frame, with workerframes.ReplySucceeded if replyCode is nil, and reports whether a reply to an attempt or load
+// command was sent.
 func (w *Worker) reply(conn net.Conn, frame workerframes.Frame, replyCode *func(command byte) (code byte)) bool {
 	fields, body, encode := OneReplica, []byte(nil), frame.Reply
 	switch frame.Command() {
@@ -123,6 +124,9 @@
 		}
 		fields, body = replicaFound, frame.Body
 	case workerframes.CommandLoad:
+	case workerframes.CommandPing:
+		_, _ = conn.Write(frame.Reply(workerframes.ReplyPong, "", nil)) // the front end may have closed the connection
+		return false
 	default:
 		return false
 	}
