Peers' word that a worker is warm holds for 2 s and is dated by accepted messages

What callers see: where the grace of drains is short, so that a lease lasts 0.4 s, front ends that restart in an outage learn little from their peers: these must have served with a worker within the last 0.4 s to call it warm.

Cause: a warm worker was stated with the age that confirms a lease. But a lease is about drains, and warmth about the process, which does not change within 2 s of a message that it accepted (it drains before). Besides, the statement was dated by the response, also if that was a rejection or came long after the message: from a worker that had begun to drain, whose successor may come at once.

Change: statements of warm workers have ages of their own, up to 2 s, and say nothing of leases, which the message of the old kind states. They are dated by the time at which an accepted message was sent.

--- a/control/lease_renewal.go
+++ b/control/lease_renewal.go
@@ -153,7 +153,7 @@
 		return
 	}
 	w.lease.queryPending = false
-	r.onReply(w, w.lease.queriedProcess, result.Outcome)
+	r.onReply(w, w.lease.queriedProcess, now-result.Latency, result.Outcome)
 	switch result.Outcome {
 	case Succeeded:
 		r.recordQueryResponse(w, result)
--- a/control/peer_confirmations.go
+++ b/control/peer_confirmations.go
@@ -29,8 +29,7 @@
 
 // Confirmation messages have odd lengths, other gossip messages have even ones. They consist of the kind, the nonce of the
 // request in 32 bits and, in a response, 16 bits for each worker: its digest in 12, and the age of its confirmation in 4. The
-// workers that the sender also knew as warm at that time are stated before, in a message of another kind, which older versions
-// ignore.
+// workers that the sender knew as warm are stated before, in a message of another kind, which older versions ignore.
 const (
 	confirmationRequestKind      byte = 1
 	confirmationResponseKind     byte = 2
@@ -160,7 +159,7 @@
 	case w.state != Serving || r.hasRejected(w):
 		return 0, false
 	}
-	return r.ageStep(r.lastConfirmedAt(w))
+	return r.ageStep(r.lastConfirmedAt(w), confirmationResponseKind)
 }
 
 // warmConfirmationAgeStep is confirmationAgeStep for a response that states that w is warm.
@@ -168,7 +167,7 @@
 	if w.state != Serving || r.hasRejected(w) {
 		return 0, false
 	}
-	return r.ageStep(min(r.lastConfirmedAt(w), r.lastWarmAt(w)))
+	return r.ageStep(r.lastWarmAt(w), warmConfirmationResponseKind)
 }
 
 // lastConfirmedAt returns the time as of which the lease of w was last confirmed.
@@ -180,13 +179,16 @@
 }
 
 // ageStep encodes the age of a confirmation, or returns false if it has expired.
-func (r *Router) ageStep(confirmedAt units.Seconds) (step uint16, valid bool) {
-	age := math.Ceil(float64((r.now - confirmedAt) / r.confirmationAgeUnit()))
+func (r *Router) ageStep(confirmedAt units.Seconds, kind byte) (step uint16, valid bool) {
+	age := math.Ceil(float64((r.now - confirmedAt) / r.confirmationAgeUnit(kind)))
 	return uint16(min(age, drainingAgeStep)), age <= maxConfirmationAgeStep
 }
 
-// confirmationAgeUnit returns the unit of the ages in responses. It is the same on all front ends of a deployment.
-func (r *Router) confirmationAgeUnit() units.Seconds {
+// confirmationAgeUnit returns the unit of the ages in responses of a kind. It is the same on all front ends of a deployment.
+func (r *Router) confirmationAgeUnit(kind byte) units.Seconds {
+	if kind == warmConfirmationResponseKind {
+		return minReplacementSeconds / maxConfirmationAgeStep
+	}
 	return r.leaseDuration() / maxConfirmationAgeStep
 }
 
@@ -215,12 +217,11 @@
 		r.recordPeerDrain(w, r.confirmationRequest.sentAt)
 		return
 	}
-	acceptedAt := r.confirmationRequest.sentAt - units.Seconds(step)*r.confirmationAgeUnit()
-	if acceptedAt <= w.process.assumedAt {
-		return
-	}
-	w.recordAcceptance(acceptedAt)
-	if kind == warmConfirmationResponseKind {
-		w.recordPeerWarm(acceptedAt)
+	confirmedAt := r.confirmationRequest.sentAt - units.Seconds(step)*r.confirmationAgeUnit(kind)
+	switch {
+	case kind == warmConfirmationResponseKind:
+		w.recordPeerWarm(confirmedAt)
+	case confirmedAt > w.process.assumedAt:
+		w.recordAcceptance(confirmedAt)
 	}
 }
--- a/control/process_contact.go
+++ b/control/process_contact.go
@@ -11,7 +11,7 @@
 // these processes, if they are well, have most of their capacity when requests come for them.
 
 const (
-	// contactIntervalSeconds is the time between two queries of a worker that does not respond to anything else. It is shorter
+	// contactIntervalSeconds is the time between two queries of a worker that serves nothing else. It is shorter
 	// than the time after which idle connections close.
 	contactIntervalSeconds = 4.0
 	// contactsPerWorker bounds the number of front ends that query a worker early, each with a connection of its own.
@@ -22,7 +22,7 @@
 
 // contactWorker queries w if it may be another process than the listed one and is among the workers to be queried early.
 func (r *Router) contactWorker(w *worker) bool {
-	isDue := w.process.aliveAt < r.now-contactIntervalSeconds && r.now >= w.lease.retryAt
+	isDue := w.process.servedAt < r.now-contactIntervalSeconds && r.now >= w.lease.retryAt
 	mayBeCold := w.state == Serving && r.warmUpProgress(w, r.now) < 1 && !r.isStartKnown(w)
 	isAllowed := r.deployment.EndpointLeases && r.deployment.LoadCommandsAllowed
 	if !isDue || !mayBeCold || !isAllowed || !r.isContact(w) || r.hasRejected(w) {
--- a/control/replica_loading.go
+++ b/control/replica_loading.go
@@ -173,7 +173,7 @@
 	if fn.pendingLoadOn == w {
 		sentTo = fn.loadCommandedTo
 	}
-	r.onReply(w, sentTo, result.Outcome)
+	r.onReply(w, sentTo, now-result.Duration, result.Outcome)
 	r.updateLeaseFromLoad(w, fn, result)
 	if result.Replicas > 0 {
 		fn.ensureReplica(w).markWarm(now)
--- a/control/router.go
+++ b/control/router.go
@@ -146,7 +146,7 @@
 	if result.Outcome != TimedOut && result.Outcome != Cancelled {
 		w.lastResponseAt = now
 	}
-	r.onReply(w, req.attemptedBy, result.Outcome)
+	r.onReply(w, req.attemptedBy, now-result.Latency, result.Outcome)
 	r.updateReplica(req, rep, result)
 	if result.Outcome <= Rejected && result.Outcome != ConnectionLost {
 		if !req.awaitsLoad && result.Start <= WarmStart {
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -9,8 +9,13 @@
 // counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has passed since its first
 // response.
 
-// listingDelaySeconds is the longest time from the start of a worker until discovery lists it.
-const listingDelaySeconds = 2.0
+const (
+	// listingDelaySeconds is the longest time from the start of a worker until discovery lists it.
+	listingDelaySeconds = 2.0
+	// minReplacementSeconds is the shortest time from the last message that a process accepts to the start of another one at its
+	// address: it drains before.
+	minReplacementSeconds = 2.0
+)
 
 // process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
 // entry in the endpoint list to the next.
@@ -21,8 +26,8 @@
 	// where the host does not report that, when it first responded; 0: none.
 	connectedAt units.Seconds
 	repliedAt   units.Seconds // time of its first response; 0: none
-	aliveAt     units.Seconds // time of its last response; 0: none
-	// peerWarmAt is the latest time at which the process at the address responded to a peer that knew it as warm; 0: none.
+	servedAt    units.Seconds // send time of the last message that it accepted; 0: none
+	// peerWarmAt is the latest time at which the process at the address served a peer that knew it as warm; 0: none.
 	peerWarmAt units.Seconds
 	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
 	identified bool
@@ -134,7 +139,7 @@
 	if p.connectedAt == 0 {
 		p.connectedAt = other.connectedAt
 	}
-	p.aliveAt = max(p.aliveAt, other.aliveAt)
+	p.servedAt = max(p.servedAt, other.servedAt)
 	p.listedAt = max(p.listedAt, other.listedAt)
 	p.peerWarmAt = max(p.peerWarmAt, other.peerWarmAt)
 }
@@ -152,12 +157,14 @@
 
 // onReply records the first response of a worker's process, to an attempt, load command or query that was sent to a process
 // of it, which may be an earlier one. After a disconnection, the process that responds may have started as late as now.
-func (r *Router) onReply(w *worker, sentTo *process, outcome Outcome) {
+func (r *Router) onReply(w *worker, sentTo *process, sentAt units.Seconds, outcome Outcome) {
 	isReply := outcome == Succeeded || outcome == Failed || outcome == Rejected || outcome == ReplicaMissing
 	if !isReply || sentTo == nil {
 		return
 	}
-	sentTo.aliveAt = r.now
+	if outcome != Rejected {
+		sentTo.servedAt = max(sentTo.servedAt, sentAt)
+	}
 	if sentTo != w.process || sentTo.repliedAt > 0 {
 		return
 	}
@@ -207,14 +214,14 @@
 	return isListed || r.isWarmAtPeer(p)
 }
 
-// isWarmAtPeer reports whether a peer knew p as warm while p was connected or within a lease before. A lease is shorter than the
-// time in which a process is replaced.
+// isWarmAtPeer reports whether a peer knew p as warm while p was connected, or the process at the address so shortly before that it
+// has not been replaced.
 func (r *Router) isWarmAtPeer(p *process) bool {
 	connectedAt := p.connectedAt
 	if connectedAt == 0 {
 		connectedAt = r.now
 	}
-	return p.peerWarmAt > 0 && connectedAt < p.peerWarmAt+r.leaseDuration()
+	return p.peerWarmAt > 0 && connectedAt < p.peerWarmAt+minReplacementSeconds
 }
 
 // reachProcess returns the process that a message which is written to w now reaches.
@@ -225,7 +232,7 @@
 	return w.process
 }
 
-// recordPeerWarm records that the process at the address of w responded at a time to a peer that knew it as warm.
+// recordPeerWarm records that the process at the address of w served a peer at a time that knew it as warm.
 func (w *worker) recordPeerWarm(at units.Seconds) {
 	if at < w.process.assumedAt {
 		return // it was that of a predecessor
@@ -244,9 +251,9 @@
 	case !r.hasWarmedUp(r.shownColdSince(w)):
 		return 0
 	case p.identified && r.isDiscoveryAvailable():
-		return max(p.aliveAt, r.discovery.confirmedAt)
+		return max(p.servedAt, r.discovery.confirmedAt)
 	default:
-		return p.aliveAt
+		return p.servedAt
 	}
 }
 
