In outages, the listing delay concerns workers whose earlier process has gone

Change: the delay of 2 s counts where something at the address is known to have gone: the last connection ended, a dial failed or the list changed. Otherwise a first contact would have to come within the 2 s in which the worker returns, and its start would still be unlisted. What a front end tells its peers of a worker keeps the delay in any case. A change by the list counts as the end of the earlier process, which it was not for leases.

A case of TestSlowStart_UnconnectedWorkerInOutage has the process come after an earlier one, and a case without is known as warm.

--- a/control/endpoint_index.go
+++ b/control/endpoint_index.go
@@ -35,9 +35,8 @@
 // updateWorker applies an update of an endpoint that is in the index.
 func (r *Router) updateWorker(w *worker, endpoint Worker) {
 	if !w.isSameProcess(endpoint) {
-		assumedAt := w.process.assumedAt
 		w.process, w.certainProcess = r.newListedProcess(endpoint), nil
-		w.process.assumedAt = assumedAt
+		w.process.assumedAt = r.now
 	}
 	if w.state = endpoint.State; w.state == Removed {
 		return
--- a/control/slow_start_test.go
+++ b/control/slow_start_test.go
@@ -181,6 +181,7 @@
 		"listed with a weight": {func(h *leaseHost) { h.listWorker(Worker{ID: "w0", Weight: 3}) }, rate / 2, rate},
 	} {
 		h := newUnconnectedHost()
+		h.disconnectAll()
 		h.connectAll()
 		w := h.router.workersByID["w0"]
 		for range 5 {
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -208,10 +208,19 @@
 	return r.areStartsReported() || r.isStartShown(w.process)
 }
 
-// isStartShown is isStartKnown by what this front end and its peers received from p itself.
+// isStartShown is isStartKnown by what this front end and its peers received from p itself. If a predecessor of p is known to have
+// gone, p may have started just before it was connected.
 func (r *Router) isStartShown(p *process) bool {
-	isListed := p.listedAt > 0 && p.listedAt >= p.connectedAt+listingDelaySeconds
-	return isListed || r.isWarmAtPeer(p)
+	delay := units.Seconds(0)
+	if p.assumedAt > 0 {
+		delay = listingDelaySeconds
+	}
+	return p.isListed(delay) || r.isWarmAtPeer(p)
+}
+
+// isListed reports whether the endpoint list was complete at a delay after p was connected, or later, and p has responded by then.
+func (p *process) isListed(delay units.Seconds) bool {
+	return p.listedAt > 0 && p.listedAt >= p.connectedAt+delay
 }
 
 // isWarmAtPeer reports whether a peer knew p as warm while p was connected, or the process at the address so shortly before that it
@@ -247,8 +256,10 @@
 // none. That a worker is listed does not show it.
 func (r *Router) lastWarmAt(w *worker) units.Seconds {
 	p := w.process
+	hasServedLong := p.repliedAt > 0 && r.hasWarmedUp(p.connectedAt)
+	isShown := hasServedLong || p.isListed(listingDelaySeconds) || r.isWarmAtPeer(p)
 	switch {
-	case !r.hasWarmedUp(r.shownColdSince(w)):
+	case !isShown || !r.hasWarmedUp(r.shownColdSince(w)):
 		return 0
 	case p.identified && r.isDiscoveryAvailable():
 		return max(p.servedAt, r.discovery.confirmedAt)
