Slow start in outages: one list does not show the process of a further connection

Cause: has the listing delay for workers whose earlier process is known to have gone. A further connection may reach a process that has taken the address of a machine that vanished unnoticed; one response and one list made it count as known, before its start could be listed.

Change: hasPredecessor says that another process may have been at the address; it is set for such a connection too.

Evidence: TestLease_WorkerWithoutConnectionMayBeAnotherProcess, "another connection, response and update", fails before.

--- a/control/endpoint_index.go
+++ b/control/endpoint_index.go
@@ -36,7 +36,7 @@
 func (r *Router) updateWorker(w *worker, endpoint Worker) {
 	if !w.isSameProcess(endpoint) {
 		w.process, w.certainProcess = r.newListedProcess(endpoint), nil
-		w.process.assumedAt = r.now
+		w.process.assumedAt, w.process.hasPredecessor = r.now, true
 	}
 	if w.state = endpoint.State; w.state == Removed {
 		return
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -9,47 +9,6 @@
 // counts as cold until a peer that has such a connection reports it as warm, or its warm-up time has passed since its first
 // response.
 
-const (
-	// listingDelaySeconds is the longest time from the start of a worker until discovery lists it.
-	listingDelaySeconds = 2.0
-	// minReplacementSeconds is the shortest time from the last message that a process accepts to the start of another one at its
-	// address: it drains before.
-	minReplacementSeconds = 2.0
-)
-
-// process is what is known of the process that messages to a worker reach, from one break of its connections or change of its
-// entry in the endpoint list to the next.
-type process struct {
-	group     deduplicationGroup // as listed when the process was first assumed
-	assumedAt units.Seconds      // end of the last connection to its predecessor; 0: none was known to end
-	// connectedAt is the earliest time at which it is known to have been connected: when the first message was written to it or,
-	// where the host does not report that, when it first responded; 0: none.
-	connectedAt units.Seconds
-	repliedAt   units.Seconds // time of its first response; 0: none
-	servedAt    units.Seconds // send time of the last message that it accepted; 0: none
-	// peerWarmAt is the latest time at which the process at the address served a peer that knew it as warm; 0: none.
-	peerWarmAt units.Seconds
-	// identified is set once it is known to be the process that the endpoint list describes, so that group is its own.
-	identified bool
-	// listedAt is the latest time after its first response at which the endpoint list was complete; 0: none.
-	listedAt    units.Seconds
-	attempts    float64 // since the last tick
-	attemptRate float64 // moving average of attempts per second
-	// sustainedRate is the rate of attempts that it served before sustainedAt, when its start was taken as reported; 0: none.
-	sustainedRate float64
-	sustainedAt   units.Seconds
-	// confirmedAs is the same process as it was known before it became uncertain; nil if it was not, or is still so.
-	confirmedAs *process
-}
-
-// confirmed returns the process that p was confirmed to be, which is p itself unless it was uncertain.
-func (p *process) confirmed() *process {
-	if p.confirmedAs != nil {
-		return p.confirmedAs
-	}
-	return p
-}
-
 // newListedProcess returns the process that an entry of the endpoint list describes. Where the list may expire, the process is
 // identified only once the list was confirmed after the process had responded. Before that, messages may reach another process at
 // its address.
@@ -69,13 +28,6 @@
 	}
 }
 
-func (p *process) identify(asOf units.Seconds) {
-	if p.repliedAt > 0 && p.repliedAt <= asOf {
-		p.identified = true
-		p.listedAt = max(p.listedAt, asOf)
-	}
-}
-
 // isProcessIdentified reports whether a message to w reaches the process that the endpoint list describes.
 func (r *Router) isProcessIdentified(w *worker) bool {
 	return r.isDiscoveryAvailable() || w.process.identified
@@ -111,7 +63,8 @@
 	if !known || w.certainProcess != nil || !r.hasLeases() {
 		return false
 	}
-	w.process, w.certainProcess = &process{group: w.process.group, assumedAt: w.process.assumedAt}, w.process
+	another := &process{group: w.process.group, assumedAt: w.process.assumedAt, hasPredecessor: true}
+	w.process, w.certainProcess = another, w.process
 	if r.isStartKnown(w) {
 		return false
 	}
@@ -131,25 +84,12 @@
 	w.process, w.certainProcess = w.certainProcess, nil
 }
 
-// merge adds the evidence about other, which turned out to be the same process.
-func (p *process) merge(other *process) {
-	if p.repliedAt == 0 {
-		p.repliedAt = other.repliedAt
-	}
-	if p.connectedAt == 0 {
-		p.connectedAt = other.connectedAt
-	}
-	p.servedAt = max(p.servedAt, other.servedAt)
-	p.listedAt = max(p.listedAt, other.listedAt)
-	p.peerWarmAt = max(p.peerWarmAt, other.peerWarmAt)
-}
-
 // assumeProcessReplaced makes a worker count as unconfirmed and cold, unless the endpoint list shows otherwise.
 func (r *Router) assumeProcessReplaced(w *worker) {
 	if !r.hasLeases() {
 		return
 	}
-	w.process, w.certainProcess = &process{group: w.process.group, assumedAt: r.now}, nil
+	w.process, w.certainProcess = &process{group: w.process.group, assumedAt: r.now, hasPredecessor: true}, nil
 	if !r.areStartsReported() {
 		r.restartSlowStart(w)
 	}
@@ -190,14 +130,6 @@
 	r.discovery.reportedStarts = areReported
 }
 
-// recordSustainedRate records the rate of attempts at which the end of reported starts finds p. If it was higher at an earlier one,
-// that rate remains.
-func (p *process) recordSustainedRate(now units.Seconds) {
-	if p.attemptRate > p.sustainedRate {
-		p.sustainedRate, p.sustainedAt = p.attemptRate, now
-	}
-}
-
 // restartSlowStart resets the slow start credits of w to those of a process that just started.
 func (r *Router) restartSlowStart(w *worker) {
 	w.usedCredits, w.grantedCredits = 0, r.random.fraction()
@@ -208,21 +140,16 @@
 	return r.areStartsReported() || r.isStartShown(w.process)
 }
 
-// isStartShown is isStartKnown by what this front end and its peers received from p itself. If a predecessor of p is known to have
-// gone, p may have started just before it was connected.
+// isStartShown is isStartKnown by what this front end and its peers received from p itself. If p has a predecessor, it may have
+// started just before it was connected.
 func (r *Router) isStartShown(p *process) bool {
 	delay := units.Seconds(0)
-	if p.assumedAt > 0 {
+	if p.hasPredecessor {
 		delay = listingDelaySeconds
 	}
 	return p.isListed(delay) || r.isWarmAtPeer(p)
 }
 
-// isListed reports whether the endpoint list was complete at a delay after p was connected, or later, and p has responded by then.
-func (p *process) isListed(delay units.Seconds) bool {
-	return p.listedAt > 0 && p.listedAt >= p.connectedAt+delay
-}
-
 // isWarmAtPeer reports whether a peer knew p as warm while p was connected, or the process at the address so shortly before that it
 // has not been replaced.
 func (r *Router) isWarmAtPeer(p *process) bool {
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -53,6 +53,7 @@
 		"removed, listed again, response and update":  {"remove return reply list", true},
 		"the same, that update later":                 {"remove return reply later list", false},
 		"another connection, not yet verified":        {"uncertain", true},
+		"another connection, response and update":     {"uncertain reply list", true},
 		"another connection, verified":                {"uncertain confirmed", false},
 		"disconnected, another one, not yet verified": {"disconnect list wait reply uncertain", true},
 		"disconnected, another one, verified":         {"disconnect list wait reply uncertain confirmed", true},
