--- a/control/deployment.go
+++ b/control/deployment.go
@@ -76,4 +76,5 @@
 	EndpointLeases          bool          // the host reports confirmations of the endpoint list; otherwise it is valid until updated
 	PollLease               units.Seconds // time for which a list is valid without a successful poll; 0: until updated
 	DrainGrace              units.Seconds // time after a drain notice in which messages may still be sent to the worker
+	IdleTimeout             units.Seconds // time after which the host closes an idle connection to a worker; 0: never
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,6 +113,7 @@
 	deployment.EndpointLeases = true
 	limits := clientLimits(deployment, n.readiness.isReady)
 	poolLimits := upstreamLimits(document, workers)
+	deployment.IdleTimeout = poolLimits.IdleTimeout
 	settings := proxy.Settings{
 		Name:             document.Name,
 		MaxClients:       clients,
