Slow start in outages: the listing delay concerns late first connections too

Cause: since a list showed a process without the listing delay if the front end had never been connected to the worker. A front end that had run for long connected for the first time to a worker that had just returned, and an outage began before the start was listed.

Change: that holds only in the first 4 s after the start of the front end, when it connects to most workers for the first time.

TestSlowStart_UnconnectedWorkerInOutage, "first used then, long after a start", fails before.

--- a/control/process.go
+++ b/control/process.go
@@ -5,6 +5,8 @@
 const (
 	// listingDelaySeconds is the longest time from the start of a worker until discovery lists it.
 	listingDelaySeconds = 2.0
+	// firstContactsSeconds is the time after the start of a front end in which it connects to most workers for the first time.
+	firstContactsSeconds = 4.0
 	// minReplacementSeconds is the shortest time from the last message that a process accepts to the start of another one at its
 	// address: it drains before.
 	minReplacementSeconds = 2.0
--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -140,11 +140,11 @@
 	return r.areStartsReported() || r.isStartShown(w.process)
 }
 
-// isStartShown is isStartKnown by what this front end and its peers received from p itself. If p has a predecessor, it may have
-// started just before it was connected.
+// isStartShown is isStartKnown by what this front end and its peers received from p itself. If p has a predecessor, or is connected
+// for the first time long after the start of this front end, it may have started just before.
 func (r *Router) isStartShown(p *process) bool {
 	delay := units.Seconds(0)
-	if p.hasPredecessor {
+	if p.hasPredecessor || p.connectedAt >= r.startedAt+firstContactsSeconds {
 		delay = listingDelaySeconds
 	}
 	return p.isListed(delay) || r.isWarmAtPeer(p)
--- a/control/worker_process_test.go
+++ b/control/worker_process_test.go
@@ -90,6 +90,7 @@
 	for name, connect := range map[string]func(h *leaseHost){
 		"warm, used before the last list":     func(h *leaseHost) { h.connectAll(); h.confirmListLater() },
 		"warm, first used just before it":     func(h *leaseHost) { h.connectAll(); h.confirmList() },
+		"first used then, long after a start": func(h *leaseHost) { h.confirmListLater(); h.confirmListLater(); h.connectAll(); h.confirmList() },
 		"used anew just before the last list": func(h *leaseHost) { h.connectAll(); h.disconnectAll(); h.connectAll(); h.confirmList() },
 		"never used":                          func(*leaseHost) {},
 		"used and idle before the outage":     func(h *leaseHost) { h.connectAll(); h.disconnectAll(); h.confirmListLater() },
