Workers are looked at only when starts cease to be reported, not at each input

Cause: since each input of the router went through all workers to see whether the slow start of any begins.

Change: that is decided before the workers are looked at, as before.

The tests of control pass unchanged.

--- a/control/worker_process.go
+++ b/control/worker_process.go
@@ -120,14 +120,17 @@
 // checkStartsReported begins the slow start of the workers that may have been replaced since discovery last confirmed the list,
 // once it would no longer report that.
 func (r *Router) checkStartsReported() {
-	areReported := r.areStartsReported()
+	wereReported, areReported := r.discovery.reportedStarts, r.areStartsReported()
+	r.discovery.reportedStarts = areReported
+	if !wereReported || areReported {
+		return
+	}
 	for _, w := range r.workers {
-		if r.discovery.reportedStarts && !areReported && !r.isStartKnown(w) {
+		if !r.isStartKnown(w) {
 			r.restartSlowStart(w)
 			w.process.recordSustainedRate(r.now)
 		}
 	}
-	r.discovery.reportedStarts = areReported
 }
 
 // restartSlowStart resets the slow start credits of w to those of a process that just started.
