--- a/control/process_contact_test.go
+++ b/control/process_contact_test.go
@@ -9,20 +9,20 @@
 )
 
 // Guards against fleets that serve next to nothing in an outage although their workers are well: those that may be other processes are
-// queried as the outage begins, so that their warm-up time counts from then.
+// queried as the outage begins, so that their warm-up time counts from then. Others are not, until their connections are idle.
 func TestContact_QueriesWorkersThatMayBeCold(t *testing.T) {
 	for name, c := range map[string]struct {
 		workers, frontEnds, want int
 		prepare                  func(h *leaseHost)
 	}{
-		"few front ends":              {12, 3, 12, nil},
-		"many front ends":             {120, 300, 13, nil},
-		"very many workers":           {3200, 300, 16, nil},
-		"workers known as warm":       {12, 3, 0, func(h *leaseHost) { h.connectAll(); h.confirmListLater() }},
-		"no load commands":            {12, 3, 0, func(h *leaseHost) { h.router.deployment.LoadCommandsAllowed = false }},
-		"no request so far":           {12, 3, 0, func(h *leaseHost) { h.router.functions = nil }},
-		"discovery is available":      {12, 3, 0, func(h *leaseHost) { h.router.deployment.EndpointLeases = false }},
-		"a draining worker in a list": {12, 3, 11, func(h *leaseHost) { h.listWorker(Worker{ID: "w7", State: Draining}) }},
+		"few front ends":                {12, 3, 12, nil},
+		"many front ends":               {120, 300, 13, nil},
+		"very many workers":             {3200, 300, 16, nil},
+		"workers known as warm":         {12, 3, 0, func(h *leaseHost) { h.connectAll(); h.confirmListLater() }},
+		"no load commands":              {12, 3, 0, func(h *leaseHost) { h.router.deployment.LoadCommandsAllowed = false }},
+		"no request so far":             {12, 3, 0, func(h *leaseHost) { h.router.functions = nil }},
+		"a list that is valid for good": {12, 3, 0, func(h *leaseHost) { h.router.deployment.EndpointLeases = false }},
+		"a draining worker in a list":   {12, 3, 11, func(h *leaseHost) { h.listWorker(Worker{ID: "w7", State: Draining}) }},
 	} {
 		h := newUnconnectedHost()
 		h.router.deployment.FrontEnds = c.frontEnds
