--- /dev/null
+++ b/cmd/streamcleat/flood_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"os/exec"
+	"testing"
+	"time"
+
+	"streamcleat/internal/verification/exclusive"
+	"streamcleat/internal/verification/soak"
+)
+
+const (
+	// floodMemoryMB is the memory limit of the front ends, and floodPeakFraction the fraction of it that a flood may take.
+	floodMemoryMB     = 192
+	floodPeakFraction = 0.8
+	// minServedBesideFlood is the served share of other clients, relative to front ends that are not flooded.
+	minServedBesideFlood = 0.97
+)
+
+// Guards against late and missing responses, closed connections and growing memory while other clients flood a front end.
+func TestFlood_OtherClientsAreServed(t *testing.T) {
+	exclusive.Acquire(t)
+	program, err := exec.LookPath("streamcleat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name     string
+		scenario soak.FloodScenario
+		quota    bool
+	}{
+		{"new functions, cancelled at once", soak.FloodScenario{Kind: soak.NewFunctionsCancelled, Connections: 8}, true},
+		{"new functions, cancelled at once, no quota", soak.FloodScenario{Kind: soak.NewFunctionsCancelled, Connections: 8}, false},
+		{"known function, cancelled at once", soak.FloodScenario{Kind: soak.KnownFunctionCancelled, Connections: 8}, true},
+		{"unknown class", soak.FloodScenario{Kind: soak.UnknownClass, Connections: 8}, true},
+		{"repeated ID", soak.FloodScenario{Kind: soak.RepeatedID, Connections: 8}, true},
+		{"readiness queries", soak.FloodScenario{Kind: soak.ReadinessQueries, Connections: 8}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.scenario.Duration = 10 * time.Second
+			result := runFlood(t, program, &c.scenario, c.quota)
+			if least := minServedBesideFlood * result.Unflooded.Ratio(); result.Flooded.Ratio() < least {
+				t.Errorf("%.3f of the requests beside the flood succeeded, want %.3f", result.Flooded.Ratio(), least)
+			}
+		})
+	}
+}
+
+// runFlood runs a flood and checks the rules and the peak of memory.
+func runFlood(t *testing.T, program string, scenario *soak.FloodScenario, quota bool) *soak.Result {
+	t.Helper()
+	result, _, err := soak.Run(context.Background(), soak.Settings{
+		Program: program, Seed: 70, FrontEnds: 3, Workers: 16, MemoryMB: floodMemoryMB, LoadQuota: quota, Flood: scenario, Log: t.Logf,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result)
+	if result.Broken() || result.Flooded.Requests < 100 {
+		t.Error("a rule was violated, or fewer than 100 requests were sent beside the flood")
+	}
+	if float64(result.PeakMemory) > floodPeakFraction*floodMemoryMB*(1<<20) {
+		t.Errorf("peak memory %d MB exceeds %.1f of the limit of %d MB", result.PeakMemory>>20, floodPeakFraction, floodMemoryMB)
+	}
+	return result
+}
--- a/internal/verification/soak/client.go
+++ b/internal/verification/soak/client.go
@@ -55,6 +55,7 @@
 	sentAt    time.Time
 	// duringOutage is set if discovery was unavailable to the front end when the request was sent, unless it repeats an ID.
 	duringOutage bool
+	duringFlood  bool // sent to the front end that is flooded
 }
 
 // runClient sends requests to a front end over successive connections until the load ends.
@@ -145,6 +146,7 @@
 	c.open[stream] = request
 	request.sentAt = time.Now()
 	request.duringOutage = !request.repeatsID && c.harness.discovery.isUnavailableFor(c.frontEnd.number)
+	request.duringFlood = c.frontEnd.flooded.Load() > 0
 	c.harness.recorder.Add(invariants.Record{
 		Kind: invariants.RequestSent, CallID: request.callID, RequestID: requestName(request.id),
 		Class: request.class, Function: requestName(functionID), FrontEnd: c.process, Timeout: (c.harness.requestTimeout() + responseGrace).Seconds(),
@@ -257,6 +259,7 @@
 	if request.duringOutage {
 		c.harness.countDuringOutage(frame.code == codeSucceeded)
 	}
+	c.harness.countServed(request.duringFlood, frame.code == codeSucceeded)
 }
 
 // onEnd records the requests that are lost with the connection. A killed process loses its open requests. Any other
--- a/internal/verification/soak/config.go
+++ b/internal/verification/soak/config.go
@@ -13,13 +13,19 @@
 const (
 	functionCount          = 12  // functions that clients request
 	descriptorLimit        = 128 // file descriptors of a front end
-	memoryMB               = 64  // memory limit of a front end
+	defaultMemoryMB        = 64  // memory limit of a front end
 	deduplicationWindow    = 30 * time.Second
 	defaultWarmUpTime      = 6 * time.Second
 	defaultInitialCapacity = 0.3 // fraction of its capacity that a worker has when it starts
 	overloadFactor         = 2.5
 	overloadWindow         = 1500 * time.Millisecond
 	defaultDrainGrace      = 500 * time.Millisecond
+
+	// With Settings.LoadQuota, a front end may send loadAllowance load commands within loadWindow, and loadsPerRequest more for
+	// each request.
+	loadAllowance   = 3
+	loadsPerRequest = 0.25
+	loadWindow      = 4 * time.Second
 )
 
 // Request classes, named after their delivery semantics.
@@ -79,7 +85,7 @@
 			class(classIdempotent, "free"), class(classIdempotentByKey, "guarded"), class(classAtMostOnce, "single_shot"),
 		},
 		"Accounts": []any{map[string]any{"Name": "acme", "QuotaPerS": 1000}},
-		"Domain":   map[string]any{"MayOrder": true, "OrderTimeoutMs": 1000, "StaysLoadedMs": 8000, "WhenAbsent": "miss"},
+		"Domain":   h.loadingSettings(),
 		"Rules": map[string]any{
 			"ColdFrom": h.settings.initialCapacity(), "FallMs": overloadWindow.Milliseconds(), "FallMultiple": overloadFactor,
 			"WarmWithinMs": h.settings.warmUpTime().Milliseconds(), "DrainGraceMs": h.settings.DrainGrace.Milliseconds(), "AskWithinMs": 10_000,
@@ -87,12 +93,21 @@
 	}
 	return map[string]any{
 		"name": f.name, "listen": f.listen, "seed": strconv.FormatUint(h.settings.Seed+uint64(f.number), 16),
-		"limits":      map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": descriptorLimit},
+		"limits":      map[string]any{"cores": 1, "memory_mb": h.settings.MemoryMB, "sockets": descriptorLimit},
 		"peer_listen": f.peer, "peers": peers, "journal": discoveryAddress, "known": known,
 		"settings": settings,
 	}
 }
 
+// loadingSettings returns the settings on replicas and load commands in the document of a front end.
+func (h *harness) loadingSettings() map[string]any {
+	loading := map[string]any{"MayOrder": true, "OrderTimeoutMs": 1000, "StaysLoadedMs": 8000, "WhenAbsent": "miss"}
+	if h.settings.LoadQuota {
+		loading["LoadFree"], loading["LoadPart"], loading["LoadWindowMs"] = loadAllowance, loadsPerRequest, loadWindow.Milliseconds()
+	}
+	return loading
+}
+
 // faultVariable returns the environment variable that makes system calls fail at random in a program that is built with
 // the tag faults. The seed differs for each process.
 func (h *harness) faultVariable(number, process int) string {
--- a/internal/verification/soak/faults.go
+++ b/internal/verification/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -30,6 +31,12 @@
 	{"reload-while-stopping", (*harness).reloadWhileStopping},
 }
 
+// floodFaults are the further kinds that injectFaults chooses from with Settings.Floods.
+var floodFaults = []fault{
+	{"flood", (*harness).floodFrontEnd},
+	{"crowd", (*harness).crowdFrontEnd},
+}
+
 const (
 	concurrentFaults  = 3
 	minFaultDuration  = 300 * time.Millisecond
@@ -42,12 +49,16 @@
 func (h *harness) injectFaults(ctx context.Context) {
 	end := time.Now().Add(h.settings.Duration)
 	time.Sleep(initialFaultDelay)
+	kinds := faults
+	if h.settings.Floods {
+		kinds = append(slices.Clone(floodFaults), faults...)
+	}
 	var running sync.WaitGroup
 	for injector := range concurrentFaults {
 		random := rand.New(rand.NewPCG(h.settings.Seed, 1<<32+uint64(injector)))
 		running.Go(func() {
 			for time.Now().Before(end) && ctx.Err() == nil {
-				next := faults[random.IntN(len(faults))]
+				next := kinds[random.IntN(len(kinds))]
 				h.logFault(next.name)
 				next.inject(h, random)
 				time.Sleep(time.Duration(random.Int64N(int64(minFaultDuration))))
--- a/internal/verification/soak/front_end.go
+++ b/internal/verification/soak/front_end.go
@@ -39,6 +39,7 @@
 	documentPath string
 	claimed      atomic.Bool // reserved by a fault that is in progress
 	lastID       lastID
+	flooded      atomic.Int32 // number of floods and crowds in progress
 
 	mu           sync.Mutex
 	process      *process
@@ -169,6 +170,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	go f.watchMemory(p)
 	go func() {
 		p.err = p.cmd.Wait()
 		p.log.close()
--- a/internal/verification/soak/harness.go
+++ b/internal/verification/soak/harness.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"streamcleat/internal/verification/invariants"
@@ -36,6 +37,14 @@
 	WithoutPeers bool
 	// Outage, if set, is the scenario that is run in place of random faults.
 	Outage *OutageScenario
+	// Flood, if set, is the flood that is run in place of random faults.
+	Flood *FloodScenario
+	// Floods adds clients that flood a front end, and crowds of slow connections, to the random faults.
+	Floods bool
+	// LoadQuota limits the load commands of the front ends. By default there is no limit.
+	LoadQuota bool
+	// MemoryMB is the memory limit of a front end; 0 means the default.
+	MemoryMB int
 	// DrainingAnswersQueries makes draining workers answer queries, as some implementations do. They still reject load commands
 	// and attempts.
 	DrainingAnswersQueries bool
@@ -66,6 +75,8 @@
 	frontEnds []*frontEnd
 	ended     chan struct{} // closed when the load ends
 	startedAt time.Time
+	// floodRequests counts the requests of floods and crowds, so that each has an ID of its own.
+	floodRequests atomic.Uint64
 
 	mu           sync.Mutex
 	workers      []*worker       // active in the endpoint list
@@ -89,6 +100,9 @@
 	if settings.ConnectionsPerFrontEnd == 0 {
 		settings.ConnectionsPerFrontEnd = defaultConnections
 	}
+	if settings.MemoryMB == 0 {
+		settings.MemoryMB = defaultMemoryMB
+	}
 	if settings.DrainGrace == 0 {
 		settings.DrainGrace = defaultDrainGrace
 	}
@@ -198,6 +212,20 @@
 	}
 }
 
+// countServed counts a response by whether its front end was flooded when the request was sent.
+func (h *harness) countServed(duringFlood, succeeded bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	share := &h.result.Unflooded
+	if duringFlood {
+		share = &h.result.Flooded
+	}
+	share.Requests++
+	if succeeded {
+		share.Succeeded++
+	}
+}
+
 // loadEnded reports whether the clients must stop.
 func (h *harness) loadEnded() bool {
 	select {
--- a/internal/verification/soak/outage_scenario.go
+++ b/internal/verification/soak/outage_scenario.go
@@ -54,6 +54,8 @@
 	switch {
 	case h.settings.Outage != nil:
 		h.runScenario(ctx, h.settings.Outage)
+	case h.settings.Flood != nil:
+		h.runFloodScenario(ctx, h.settings.Flood)
 	case h.settings.Outages:
 		h.injectOutages(ctx)
 	default:
--- a/internal/verification/soak/result.go
+++ b/internal/verification/soak/result.go
@@ -21,6 +21,24 @@
 	OutageRequests  int     `json:"outage_requests"`
 	OutageSucceeded int     `json:"outage_succeeded"` // number of OutageRequests that succeeded
 	MaxWakeupDelay  float64 `json:"harness_late_s"`   // longest delay with which the harness itself was scheduled
+	PeakMemory      int64   `json:"peak_memory"`      // largest resident set of a front end in bytes
+	// Flooded counts the responses of front ends to requests sent while they were flooded, Unflooded all others.
+	Flooded   ServedShare `json:"flooded"`
+	Unflooded ServedShare `json:"unflooded"`
+}
+
+// ServedShare is a number of requests that got a response, and how many of them succeeded.
+type ServedShare struct {
+	Requests  int `json:"requests"`
+	Succeeded int `json:"succeeded"`
+}
+
+// Ratio returns the fraction of requests that succeeded, or 1 if there were none.
+func (s ServedShare) Ratio() float64 {
+	if s.Requests == 0 {
+		return 1
+	}
+	return float64(s.Succeeded) / float64(s.Requests)
 }
 
 // Broken reports whether the checker or the harness found any violation.
@@ -45,6 +63,11 @@
 		fmt.Fprintf(&b, "  during outages of discovery: %d of %d requests succeeded (%.3f), %d sent to draining workers\n", r.OutageSucceeded,
 			r.OutageRequests, r.OutageSuccessRatio(), v.SentAfterDrain)
 	}
+	if r.Flooded.Requests > 0 {
+		fmt.Fprintf(&b, "  beside floods: %d of %d requests succeeded (%.3f), %d of %d others (%.3f)\n", r.Flooded.Succeeded, r.Flooded.Requests,
+			r.Flooded.Ratio(), r.Unflooded.Succeeded, r.Unflooded.Requests, r.Unflooded.Ratio())
+	}
+	fmt.Fprintf(&b, "  peak memory of a front end %d MB\n", r.PeakMemory/mebibyte)
 	for _, text := range append(append([]string(nil), v.Violations...), r.Violations...) {
 		fmt.Fprintf(&b, "  BROKEN %s\n", text)
 	}
