The quota of load commands counts the requests of its window without a visit of each

Cause: at each request, pruneTimes visited every time in the window of the quota, and mayCommandLoad did so again. A stack of the process taken during the flood shows the loop there, over 33,440 times. Its class is work for each input that grows with what one client has sent before.

The times are in ascending order, so that only those that have left the window are visited, each once. The same holds for the load commands that count towards the quota.

--- a/control/load_quota.go
+++ b/control/load_quota.go
@@ -53,9 +53,11 @@
 	return true
 }
 
-// pruneCountedLoadCommands removes the load commands that are no longer within the window.
+// pruneCountedLoadCommands removes the load commands that are no longer within the window. They are in the order of their times.
 func (r *Router) pruneCountedLoadCommands() {
-	r.countedLoadCommands = slices.DeleteFunc(r.countedLoadCommands, func(c countedLoadCommand) bool {
-		return c.countedAt <= r.now-r.deployment.LoadCommandWindow
-	})
+	expired := 0
+	for expired < len(r.countedLoadCommands) && r.countedLoadCommands[expired].countedAt <= r.now-r.deployment.LoadCommandWindow {
+		expired++
+	}
+	r.countedLoadCommands = r.countedLoadCommands[expired:]
 }
--- a/control/router_state.go
+++ b/control/router_state.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"streamcleat/internal/units"
 )
@@ -75,9 +74,13 @@
 	}
 }
 
-// pruneTimes removes the times older than window from times and returns the rest.
+// pruneTimes removes the times older than window from times, which are in ascending order, and returns the rest.
 func (r *Router) pruneTimes(times []units.Seconds, window units.Seconds) []units.Seconds {
-	return slices.DeleteFunc(times, func(time units.Seconds) bool { return time <= r.now-window })
+	expired := 0
+	for expired < len(times) && times[expired] <= r.now-window {
+		expired++
+	}
+	return times[expired:]
 }
 
 // meanOverServing returns the mean over the serving workers for which value reports a known value.
