Unused functions take bounded memory, and rules visit only what a worker holds

Cause: the router kept each function that a client had named for 60 s, also if no worker was ever asked for it, and six rules visited all functions for each worker. One pass took longer than the 50 ms within which a write to a worker must follow its permit. The class is state and work keyed by words that a client chooses, before anything was admitted.

At most 1,024 functions are remembered that have nothing open and no loaded replica. Waiters that are finished leave their list before it grows.

--- a/control/endpoint_index.go
+++ b/control/endpoint_index.go
@@ -63,11 +63,10 @@
 // resetProcess resets what does not apply to a new process: replicas, limits and ejection. Slow start credits begin
 // at a random fraction, so that front ends do not use their first credits at the same time.
 func (r *Router) resetProcess(w *worker) {
-	for _, fn := range r.functions {
-		if rep := fn.replicaOn(w); rep != nil {
-			rep.markRestarted()
-		}
+	for _, fn := range w.functions {
+		fn.replicaOn(w).markRestarted()
 	}
+	w.slowFunctions = nil
 	w.resetLimits(r.initialLimitPerFrontEnd())
 	w.lease.reset()
 	w.grantedCredits = r.random.fraction()
@@ -79,9 +78,10 @@
 	if r.workersByDigest[w.digest()] == w {
 		delete(r.workersByDigest, w.digest())
 	}
-	for _, fn := range r.functions {
+	for _, fn := range w.functions {
 		fn.replicas = slices.DeleteFunc(fn.replicas, func(rep replica) bool { return rep.worker == w })
 	}
+	w.functions, w.slowFunctions = nil, nil
 }
 
 // reusableWorker returns the first removed worker that no request, load or query refers to, or nil.
@@ -90,11 +90,12 @@
 	for _, req := range r.requests {
 		used[slotIndexOf(req.worker)] = true
 	}
-	for _, fn := range r.functions {
-		used[slotIndexOf(fn.pendingLoadOn)] = true
+	if len(r.functions) > 0 {
+		used[slotIndexOf(nil)] = true // functions without a pending load
 	}
 	for _, w := range r.workers {
-		if w.state == Removed && !used[w.index] && !w.lease.isReferenced() {
+		isReferenced := used[w.index] || len(w.pendingLoads) > 0 || w.lease.isReferenced()
+		if w.state == Removed && !isReferenced {
 			return w
 		}
 	}
--- a/control/function.go
+++ b/control/function.go
@@ -1,15 +1,24 @@
 package control
 
 import (
+	"cmp"
 	"slices"
 
 	"streamcleat/internal/units"
 )
 
+// maxUnusedFunctions is the number of functions that are remembered although nothing is open for them and no replica of them is
+// believed to be loaded.
+const maxUnusedFunctions = 1024
+
 // function holds the router's view of one function and its replicas.
 type function struct {
 	id             FunctionID
+	sequence       uint64 // order of the first requests
 	hash           uint64
+	openRequests   int  // requests that are open or have an attempt in flight
+	queuedAsUnused bool // is in Router.unused
+	removed        bool
 	concurrency    int           // requests that one replica serves concurrently
 	inFlight       int           // attempts of this front end
 	loadTime       units.Seconds // expected duration of a replica load; 0 if unknown
@@ -56,6 +65,7 @@
 		return rep
 	}
 	fn.replicas = append(fn.replicas, replica{worker: w})
+	w.functions = append(w.functions, fn)
 	return &fn.replicas[len(fn.replicas)-1]
 }
 
@@ -76,33 +86,113 @@
 func (r *Router) functionOf(in Request) *function {
 	fn := r.functionsByID[in.Function]
 	if fn == nil {
-		fn = &function{id: in.Function, hash: hashOf(string(in.Function)), targetReplicas: 1}
+		r.lastFunction++
+		fn = &function{id: in.Function, sequence: r.lastFunction, hash: hashOf(string(in.Function)), targetReplicas: 1}
 		r.functions = append(r.functions, fn)
 		r.functionsByID[fn.id] = fn
 		r.functionsByDigest[fn.digest()] = fn
 	}
 	fn.concurrency = max(in.Concurrency, 1)
 	fn.loadTime = max(in.LoadTime, fn.loadTime)
+	if latest := r.latestFunction; latest == nil || r.now > latest.lastRequestAt || fn.sequence < latest.sequence {
+		r.latestFunction = fn
+	}
 	fn.lastRequestAt = r.now
 	return fn
 }
 
+// closeRequest removes a request that is finished and has no attempt in flight.
+func (r *Router) closeRequest(req *request) {
+	delete(r.requests, req.ID)
+	req.function.openRequests--
+	r.queueIfUnused(req.function)
+}
+
+// isUnused reports whether nothing is open for fn and no replica of it is believed to be loaded.
+func (r *Router) isUnused(fn *function) bool {
+	if fn.openRequests > 0 || fn.inFlight > 0 || fn.pendingLoadOn != nil {
+		return false
+	}
+	return !slices.ContainsFunc(fn.replicas, func(rep replica) bool { return r.isWarm(&rep) })
+}
+
+// queueIfUnused queues an unused function for removal, and removes the functions beyond maxUnusedFunctions that were queued first and
+// are still unused. A client that names ever new functions thus takes a bounded amount of memory.
+func (r *Router) queueIfUnused(fn *function) {
+	if fn.queuedAsUnused || fn.removed || !r.isUnused(fn) {
+		return
+	}
+	fn.queuedAsUnused = true
+	fn.rankedWorkers, fn.rankedVersion = nil, 0
+	r.unused = append(r.unused, fn)
+	for len(r.unused) > maxUnusedFunctions {
+		oldest := r.unused[0]
+		r.unused = r.unused[1:]
+		oldest.queuedAsUnused = false
+		if r.isUnused(oldest) {
+			r.removeFunction(oldest)
+		}
+	}
+}
+
+// removeFunction removes fn from the lookups. The next tick removes it from Router.functions.
+func (r *Router) removeFunction(fn *function) {
+	if fn.removed {
+		return
+	}
+	fn.removed = true
+	delete(r.functionsByID, fn.id)
+	if r.functionsByDigest[fn.digest()] == fn {
+		delete(r.functionsByDigest, fn.digest())
+	}
+	for i := range fn.replicas {
+		w := fn.replicas[i].worker
+		w.functions = without(w.functions, fn)
+		w.slowFunctions = without(w.slowFunctions, fn)
+	}
+}
+
+// without removes fn from functions.
+func without(functions []*function, fn *function) []*function {
+	if i := slices.Index(functions, fn); i >= 0 {
+		return slices.Delete(functions, i, i+1)
+	}
+	return functions
+}
+
 // removeIdleFunctions removes the functions that have had no request for idleTime and have neither an attempt nor a
-// load in progress.
+// load in progress, and queues those that are unused.
 func (r *Router) removeIdleFunctions(idleTime units.Seconds) {
-	r.functions = slices.DeleteFunc(r.functions, func(fn *function) bool {
-		idle := fn.pendingLoadOn == nil && fn.inFlight == 0 && r.now-fn.lastRequestAt > idleTime
-		if idle {
-			delete(r.functionsByID, fn.id)
-			delete(r.functionsByDigest, fn.digest())
+	for _, fn := range r.functions {
+		if fn.pendingLoadOn == nil && fn.inFlight == 0 && r.now-fn.lastRequestAt > idleTime {
+			r.removeFunction(fn)
 		}
-		return idle
-	})
+		r.queueIfUnused(fn)
+	}
+	isRemoved := func(fn *function) bool { return fn.removed }
+	r.functions = slices.DeleteFunc(r.functions, isRemoved)
+	r.unused = slices.DeleteFunc(r.unused, isRemoved)
+	if latest := r.latestFunction; latest != nil && r.now-latest.lastRequestAt > idleTime {
+		r.latestFunction = nil
+	}
 }
 
+// setPendingLoad records that a load of fn on w is pending.
+func (r *Router) setPendingLoad(fn *function, w *worker) {
+	fn.pendingLoadOn = w
+	i, _ := slices.BinarySearchFunc(w.pendingLoads, fn, bySequence)
+	w.pendingLoads = slices.Insert(w.pendingLoads, i, fn)
+}
+
+// bySequence compares functions by the order of their first requests.
+func bySequence(a, b *function) int { return cmp.Compare(a.sequence, b.sequence) }
+
 // clearPendingLoad clears the pending load of fn and queues its waiters for the request rules again.
 func (r *Router) clearPendingLoad(fn *function) {
+	w := fn.pendingLoadOn
+	w.pendingLoads = without(w.pendingLoads, fn)
 	fn.pendingLoadOn = nil
 	r.pending = append(r.pending, fn.waiters...)
 	fn.waiters = nil
+	r.queueIfUnused(fn)
 }
--- a/control/input_cost_test.go
+++ b/control/input_cost_test.go
@@ -99,6 +99,10 @@
 		input    func(c *costRouter)
 	}{
 		"request for a known function": {"known", func(c *costRouter) { c.requestAndCancel("known") }},
+		"request for a new function":   {"", func(c *costRouter) { c.requestAndCancel("") }},
+		"rules of endpoints": {"", func(c *costRouter) {
+			c.router.OnTimer(c.now, confirmationResponseTimer)
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			small, large := newCostRouter(few, c.function), newCostRouter(many, c.function)
@@ -109,3 +113,21 @@
 		})
 	}
 }
+
+// Guards against memory that grows with the functions and requests that clients named and cancelled.
+func TestRouter_CancelledRequestsAreForgotten(t *testing.T) {
+	const requests = 50_000
+	c := newCostRouter(requests, "")
+	if n := len(c.router.functionsByID); n > maxUnusedFunctions+costWorkers {
+		t.Errorf("%d functions are remembered after %d requests for new ones", n, requests)
+	}
+	c = newCostRouter(requests, "known")
+	for _, fn := range c.router.functions {
+		if n := len(fn.waiters); n > costWorkers {
+			t.Errorf("%d finished requests wait for a load of %s", n, fn.id)
+		}
+	}
+	if n := len(c.router.requests) + len(c.router.requestsByTimerID); n > 0 {
+		t.Errorf("%d entries of cancelled requests remain", n)
+	}
+}
--- a/control/keyed_retry_test.go
+++ b/control/keyed_retry_test.go
@@ -214,6 +214,9 @@
 	} {
 		h := newKeyedHost()
 		fn := h.router.functionsByID["f"]
+		for _, w := range h.router.workers {
+			w.functions = without(w.functions, fn)
+		}
 		fn.replicas, fn.loadCooldownUntil = nil, 0
 		for id, name := range h.names() {
 			if strings.Contains(c.unidentified, name) {
--- a/control/lease_renewal.go
+++ b/control/lease_renewal.go
@@ -33,7 +33,7 @@
 // awaitLease makes a request wait until the lease of w is confirmed or cannot be confirmed. It always returns true.
 func (r *Router) awaitLease(req *request, w *worker) bool {
 	req.awaitedLease = true
-	w.lease.waiters = append(w.lease.waiters, req)
+	w.lease.waiters = appendWaiter(w.lease.waiters, req)
 	r.queryWorker(w, req.function)
 	return true
 }
@@ -70,7 +70,7 @@
 
 // awaitsLeaseForLoad reports whether a load command waits for the lease of w.
 func (r *Router) awaitsLeaseForLoad(w *worker) bool {
-	return slices.ContainsFunc(r.functions, func(fn *function) bool { return fn.pendingLoadOn == w && fn.loadAwaitsLease })
+	return slices.ContainsFunc(w.pendingLoads, func(fn *function) bool { return fn.loadAwaitsLease })
 }
 
 // sendQuery sends a query, or a renewal for a number of replicas, unless one is pending, and reports whether it did. The
@@ -127,8 +127,10 @@
 func (r *Router) newestReplicaOn(w *worker) *function {
 	var newest *function
 	seenAt := units.Seconds(0)
-	for _, fn := range r.functions {
-		if rep := fn.replicaOn(w); r.isWarm(rep) && rep.lastSeenAt >= seenAt {
+	for _, fn := range w.functions {
+		rep := fn.replicaOn(w)
+		isNewer := rep.lastSeenAt > seenAt || rep.lastSeenAt == seenAt && (newest == nil || fn.sequence > newest.sequence)
+		if isNewer && r.isWarm(rep) {
 			newest, seenAt = fn, rep.lastSeenAt
 		}
 	}
@@ -173,11 +175,18 @@
 	w.lease.waiters = nil
 }
 
-// releaseAllWaiters is releaseWaiters for all workers that satisfy a condition. It visits each worker and function once.
+// releaseAllWaiters is releaseWaiters for all workers that satisfy a condition.
 func (r *Router) releaseAllWaiters(condition func(*worker) bool) {
-	for _, fn := range r.functions {
-		if w := fn.pendingLoadOn; w != nil && fn.loadAwaitsLease && condition(w) {
-			r.resumeLoad(fn, w)
+	var waiting []*function
+	for _, w := range r.workers {
+		if len(w.pendingLoads) > 0 && condition(w) {
+			waiting = append(waiting, w.pendingLoads...)
+		}
+	}
+	slices.SortFunc(waiting, bySequence)
+	for _, fn := range waiting {
+		if fn.loadAwaitsLease {
+			r.resumeLoad(fn, fn.pendingLoadOn)
 		}
 	}
 	for _, w := range r.workers {
@@ -251,8 +260,8 @@
 
 // resumeLoads sends the load commands that waited for the lease of w, or drops them if it holds none.
 func (r *Router) resumeLoads(w *worker) {
-	for _, fn := range r.functions {
-		if fn.pendingLoadOn == w && fn.loadAwaitsLease {
+	for _, fn := range slices.Clone(w.pendingLoads) {
+		if fn.loadAwaitsLease {
 			r.resumeLoad(fn, w)
 		}
 	}
--- a/control/outlier_ejection.go
+++ b/control/outlier_ejection.go
@@ -21,11 +21,8 @@
 // evidence period: a single one is not enough, because no further attempt that could refute it may follow.
 func (r *Router) ejectSlowWorker(w *worker) bool {
 	slow := 0
-	for _, fn := range r.functions {
+	for _, fn := range w.slowFunctions {
 		rep := fn.replicaOn(w)
-		if rep == nil || rep.slowSince <= 0 {
-			continue
-		}
 		isLasting := rep.lastLatencyAt-rep.slowSince >= slowEvidenceSeconds
 		if isLasting && r.now-rep.lastLatencyAt < slowEvidenceSeconds {
 			slow++
@@ -72,9 +69,11 @@
 	rep.lastLatencyAt = r.now
 	w := rep.worker
 	w.relativeLatency += relativeLatencyWeight * (float64(latency/fn.medianLatency) - w.relativeLatency)
-	if rep.recentLatency <= r.expectedLatency(fn, rep) {
+	if isSlow := rep.recentLatency > r.expectedLatency(fn, rep); !isSlow && rep.slowSince > 0 {
 		rep.slowSince = 0
-	} else if rep.slowSince == 0 {
+		w.slowFunctions = without(w.slowFunctions, fn)
+	} else if isSlow && rep.slowSince == 0 {
 		rep.slowSince = r.now
+		w.slowFunctions = append(w.slowFunctions, fn)
 	}
 }
--- a/control/outlier_ejection_test.go
+++ b/control/outlier_ejection_test.go
@@ -106,6 +106,7 @@
 				rep := fn.ensureReplica(w)
 				rep.lastLatencyAt = r.now - c.age
 				rep.slowSince = rep.lastLatencyAt - c.slowFor
+				w.slowFunctions = append(w.slowFunctions, fn)
 			}
 			for _, other := range r.workers[1 : 1+c.ejectedOthers] {
 				other.ejectedUntil = r.now + 1
--- a/control/process_contact.go
+++ b/control/process_contact.go
@@ -1,10 +1,6 @@
 package control
 
-import (
-	"math"
-
-	"streamcleat/internal/units"
-)
+import "math"
 
 // Early contact: during a discovery outage, a worker that may be another process counts as cold for its warm-up time, from its
 // connection on. Front ends therefore query some workers before they need them, and again before the connections are closed as
@@ -28,8 +24,7 @@
 	if !isAllowed || !isDue || r.now < w.lease.retryAt || w.state != Serving || !r.isContact(w) || r.hasRejected(w) {
 		return false
 	}
-	fn := r.latestFunction()
-	return fn != nil && r.sendQuery(w, fn, 0)
+	return r.latestFunction != nil && r.sendQuery(w, r.latestFunction, 0)
 }
 
 // isIdle reports whether the connections to p are about to be closed as idle.
@@ -45,15 +40,3 @@
 	slotsAfterFirst := (w.index - r.firstContact%len(r.workers) + len(r.workers)) % len(r.workers)
 	return float64(slotsAfterFirst) < contacts
 }
-
-// latestFunction returns the function that was requested last, nil if there is none.
-func (r *Router) latestFunction() *function {
-	var latest *function
-	requestedAt := units.Seconds(math.Inf(-1))
-	for _, fn := range r.functions {
-		if fn.lastRequestAt > requestedAt {
-			latest, requestedAt = fn, fn.lastRequestAt
-		}
-	}
-	return latest
-}
--- a/control/process_contact_test.go
+++ b/control/process_contact_test.go
@@ -20,7 +20,7 @@
 		"very many workers":             {3200, 300, 16, nil},
 		"workers known as warm":         {12, 3, 0, func(h *leaseHost) { h.connectAll(); h.confirmListLater() }},
 		"no load commands":              {12, 3, 0, func(h *leaseHost) { h.router.deployment.LoadCommandsAllowed = false }},
-		"no request so far":             {12, 3, 0, func(h *leaseHost) { h.router.functions = nil }},
+		"no request so far":             {12, 3, 0, func(h *leaseHost) { h.router.latestFunction = nil }},
 		"a list that is valid for good": {12, 3, 0, func(h *leaseHost) { h.router.deployment.EndpointLeases = false }},
 		"a draining worker in a list":   {12, 3, 11, func(h *leaseHost) { h.listWorker(Worker{ID: "w7", State: Draining}) }},
 	} {
--- a/control/replica_loading.go
+++ b/control/replica_loading.go
@@ -1,6 +1,10 @@
 package control
 
-import "streamcleat/internal/units"
+import (
+	"slices"
+
+	"streamcleat/internal/units"
+)
 
 // Replica loading: when and on which worker a replica is loaded, and which requests wait for a load.
 
@@ -81,7 +85,7 @@
 
 // commandLoad starts the load of fn on w. If w holds no lease, the load command is deferred until the lease is confirmed.
 func (r *Router) commandLoad(fn *function, w *worker) {
-	fn.pendingLoadOn = w
+	r.setPendingLoad(fn, w)
 	fn.loadCommandedAt = r.now
 	fn.loadCooldownUntil = r.now + loadCooldownSeconds + units.Seconds(loadCooldownPerMissSeconds*r.replicaMissRate)
 	if fn.loadAwaitsLease = !r.holdsLease(w); fn.loadAwaitsLease {
@@ -115,7 +119,7 @@
 		return false
 	}
 	req.loadWaits++
-	fn.waiters = append(fn.waiters, req)
+	fn.waiters = appendWaiter(fn.waiters, req)
 	return true
 }
 
@@ -141,10 +145,7 @@
 // elsewhere would only slow down further.
 func (r *Router) abandonLostLoads(w *worker) bool {
 	abandoned := false
-	for _, fn := range r.functions {
-		if fn.pendingLoadOn != w {
-			continue
-		}
+	for _, fn := range slices.Clone(w.pendingLoads) {
 		unresponsiveFor := r.now - max(fn.loadCommandedAt, w.lastResponseAt)
 		isLost := unresponsiveFor > lostLoadRatio*max(fn.loadTime, minExpectedLoadSeconds)
 		if isLost {
--- a/control/replica_loading_test.go
+++ b/control/replica_loading_test.go
@@ -17,7 +17,8 @@
 		t.Error("replica is not warm after a lost connection")
 	}
 	loading := r.workers[1]
-	fn.pendingLoadOn, fn.loadCommandedAt, loading.lastResponseAt = loading, r.now-60, r.now
+	r.setPendingLoad(fn, loading)
+	fn.loadCommandedAt, loading.lastResponseAt = r.now-60, r.now
 	r.abandonLostLoads(loading)
 	if fn.pendingLoadOn != loading {
 		t.Error("load on a responsive worker was abandoned")
--- a/control/request.go
+++ b/control/request.go
@@ -63,16 +63,26 @@
 	req.finished = true
 	delete(r.requestsByTimerID, req.timerID)
 	if !req.inFlight {
-		delete(r.requests, req.ID)
+		r.closeRequest(req)
 	}
 }
 
+// appendWaiter appends a request to a list of waiters. Before the list grows, the requests that are finished are removed, so that its
+// length is bounded by the number of open requests.
+func appendWaiter(waiters []*request, req *request) []*request {
+	if len(waiters) == cap(waiters) {
+		waiters = slices.DeleteFunc(waiters, func(other *request) bool { return other.finished })
+		waiters = slices.Grow(waiters, len(waiters)+1)
+	}
+	return append(waiters, req)
+}
+
 // finishOrRequeue releases or closes a request whose attempt has ended or, if the request is still open, queues it for the
 // request rules again.
 func (r *Router) finishOrRequeue(req *request, result AttemptResult) {
 	switch {
 	case req.finished:
-		delete(r.requests, req.ID)
+		r.closeRequest(req)
 	case result.Completed:
 		r.finish(req)
 	default:
--- a/control/router.go
+++ b/control/router.go
@@ -66,6 +66,7 @@
 		deadline: now + in.TimeLeft,
 		timerID:  r.lastTimerID,
 	}
+	req.function.openRequests++
 	r.grantRenewalCredit()
 	r.requests[req.ID] = req
 	r.requestsByTimerID[req.timerID] = req
--- a/control/router_state.go
+++ b/control/router_state.go
@@ -20,7 +20,10 @@
 	lastTimerID       uint64
 	pending           []*request // requests to which the request rules are to be applied, in order
 
-	functions         []*function // in the order of their first requests
+	functions         []*function // in the order of their first requests, with those removed since the last tick
+	lastFunction      uint64      // sequence of the function that was added last
+	latestFunction    *function   // requested last; it may have been removed as unused
+	unused            []*function // see queueIfUnused
 	functionsByID     map[FunctionID]*function
 	functionsByDigest map[uint16]*function // by the digest used in gossip messages
 
--- a/control/view.go
+++ b/control/view.go
@@ -45,7 +45,9 @@
 func (r *Router) Functions() []FunctionView {
 	views := make([]FunctionView, 0, len(r.functions))
 	for _, fn := range r.functions {
-		views = append(views, r.functionView(fn))
+		if !fn.removed {
+			views = append(views, r.functionView(fn))
+		}
 	}
 	return views
 }
@@ -83,18 +85,16 @@
 			StartedAt:     w.startedAt,
 		},
 		InFlight:         len(w.inFlight),
+		PendingLoads:     len(w.pendingLoads),
 		ConcurrencyLimit: w.concurrencyLimit,
 		Load:             r.load(w),
 		WarmUpProgress:   r.warmUpProgress(w, r.now),
 		EjectedFor:       max(w.ejectedUntil-r.now, 0),
 	}
-	for _, fn := range r.functions {
+	for _, fn := range w.functions {
 		if r.isWarm(fn.replicaOn(w)) {
 			view.Replicas++
 		}
-		if fn.pendingLoadOn == w {
-			view.PendingLoads++
-		}
 	}
 	return view
 }
--- a/control/worker.go
+++ b/control/worker.go
@@ -28,6 +28,10 @@
 
 	lease workerLease
 
+	functions     []*function // with a replica on the worker, loaded or not
+	slowFunctions []*function // of these, the ones whose replica is slow
+	pendingLoads  []*function // whose pending load is on the worker, in the order of their first requests
+
 	grantedCredits float64 // slow start credits granted since the process started
 	usedCredits    float64
 }
