A platform request whose cancellation arrives with it is not passed on

The session now reads all frames that arrived together before it passes on the requests among them that are still wanted. A request before a frame that ends the connection is passed on as before.

--- a/internal/downstream/frames/session.go
+++ b/internal/downstream/frames/session.go
@@ -33,16 +33,24 @@
 	framer        framer
 	handler       downstream.RequestHandler
 	openStreams   map[uint32]bool // streams with an open request
-	lastStream    uint32          // highest stream number used; stream numbers are not reused
-	frameStart    units.Seconds   // when the first byte of the incomplete frame was received
-	lastActivity  units.Seconds   // time of the last complete frame or response
-	frameReceived bool            // a complete frame was received
-	readClosed    bool            // no more input is read
+	received      []receivedRequest
+	lastStream    uint32        // highest stream number used; stream numbers are not reused
+	frameStart    units.Seconds // when the first byte of the incomplete frame was received
+	lastActivity  units.Seconds // time of the last complete frame or response
+	frameReceived bool          // a complete frame was received
+	readClosed    bool          // no more input is read
 	goAwaySent    bool
 	disconnected  bool
 	output        []byte
 }
 
+// receivedRequest is a request that will be passed on once all frames that arrived with it have been read: if its cancellation is
+// among them, it never is.
+type receivedRequest struct {
+	stream  uint32
+	request dispatch.Request
+}
+
 // NewSession returns the session of a connection that was accepted at time now.
 func NewSession(limits *Limits, handler downstream.RequestHandler, now units.Seconds) *Session {
 	return &Session{limits: limits, handler: handler, openStreams: map[uint32]bool{}, lastActivity: now, frameStart: now}
@@ -70,6 +78,23 @@
 		s.onFrame(f)
 	}
 	s.framer.compact()
+	s.submitReceived()
+}
+
+// submitReceived passes on the requests that were received and not cancelled.
+func (s *Session) submitReceived() {
+	received := s.received
+	s.received = nil
+	for i := range received {
+		if stream := received[i].stream; s.openStreams[stream] {
+			s.handler.Submit(uint64(stream), received[i].request)
+		}
+	}
+}
+
+// isReceived reports whether the request on a stream was received and not yet passed on.
+func (s *Session) isReceived(stream uint32) bool {
+	return len(s.received) > 0 && stream >= s.received[0].stream
 }
 
 // fail sends a connection error and stops reading. The connection is closed once its open requests have been responded to.
@@ -91,7 +116,9 @@
 	case frameCancel:
 		if s.openStreams[f.stream] {
 			delete(s.openStreams, f.stream)
-			s.handler.Cancel(uint64(f.stream))
+			if !s.isReceived(f.stream) {
+				s.handler.Cancel(uint64(f.stream))
+			}
 		}
 	case frameReadinessQuery:
 		code := codeSucceeded
@@ -126,7 +153,7 @@
 		s.reject(f.stream, fmt.Sprintf("stream: %d requests are open on this connection", s.limits.MaxOpen))
 	default:
 		s.openStreams[f.stream] = true
-		s.handler.Submit(uint64(f.stream), request)
+		s.received = append(s.received, receivedRequest{f.stream, request})
 	}
 }
 
--- a/internal/downstream/frames/session_test.go
+++ b/internal/downstream/frames/session_test.go
@@ -250,3 +250,36 @@
 		}
 	})
 }
+
+// Guards against work for requests whose cancellation arrives with them, and against requests that are lost because of what follows.
+func TestFeed_SubmitsWhatIsNotCancelled(t *testing.T) {
+	cancel := func(stream uint32) []byte { return encodeFrame(frameCancel, stream, "") }
+	for name, c := range map[string]struct {
+		inputs              [][]byte
+		submitted, canceled []uint64
+	}{
+		"cancelled with the request": {[][]byte{slices.Concat(encodeRequest(1, ""), cancel(1))}, nil, nil},
+		"others stay":                {[][]byte{slices.Concat(encodeRequest(1, ""), encodeRequest(2, ""), cancel(1))}, []uint64{2}, nil},
+		"cancelled later":            {[][]byte{encodeRequest(1, ""), cancel(1)}, []uint64{1}, []uint64{1}},
+		"an error follows":           {[][]byte{slices.Concat(encodeRequest(1, ""), encodeFrame(99, 1, ""))}, []uint64{1}, nil},
+		"cancelled before an error":  {[][]byte{slices.Concat(encodeRequest(1, ""), cancel(1), encodeFrame(99, 1, ""))}, nil, nil},
+		"an earlier one is cancelled": {
+			[][]byte{encodeRequest(1, ""), slices.Concat(encodeRequest(2, ""), cancel(1))},
+			[]uint64{1, 2},
+			[]uint64{1},
+		},
+	} {
+		s, handler := newSession()
+		for _, input := range c.inputs {
+			s.Feed(1, time.Time{}, input)
+		}
+		var submitted []uint64
+		for slot := range handler.requests {
+			submitted = append(submitted, slot)
+		}
+		slices.Sort(submitted)
+		if !slices.Equal(submitted, c.submitted) || !slices.Equal(handler.cancelled, c.canceled) {
+			t.Errorf("%s: submitted %v, cancelled %v, want %v, %v", name, submitted, handler.cancelled, c.submitted, c.canceled)
+		}
+	}
+}
