An iteration handles sockets and tasks for 10 ms each, and reads 8 KiB of a client

One iteration read 64 KiB of each of up to 128 connections, some 35,000 requests and cancellations, and ran all posted tasks, before a due timer or another connection got its turn. Its class is batches that are bounded in number but not in work.

Socket events and tasks that remain at the end of their budget wait for the next iteration, before the poller is asked again, so that each has its turn. A client's connection is read in parts of 8 KiB; what it leaves unread counts in the age of its requests. At most 1,024 datagrams of peers wait for the loop; the totals count those dropped.

New tests of the budgets and of the age of input that was left unread; they need the changed functions.

--- a/internal/eventloop/connection.go
+++ b/internal/eventloop/connection.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// readSize is the maximum number of bytes read from a connection in one iteration, so that one connection cannot starve
-	// the others.
+	// readSize is the maximum number of bytes read from a connection to a worker in one iteration, so that one connection cannot
+	// starve the others.
 	readSize = 64 << 10
+	// clientReadSize is the same for a connection from a client. Clients are many, and each of their requests takes a decision.
+	clientReadSize = 8 << 10
 
 	readEvents  = unix.EPOLLIN
 	writeEvents = unix.EPOLLOUT
@@ -28,9 +30,10 @@
 	server        *Server
 	registration  *registration // nil once closed
 	remoteAddr    netip.AddrPort
-	writeBuffer   []byte          // output that the kernel has not accepted yet
-	unreadSince   time.Time       // time since which input may have been left unread although the loop ran; zero if none has
-	acceptDelayed bool            // the first input may have arrived well before the connection was accepted
+	writeBuffer   []byte    // output that the kernel has not accepted yet
+	unreadSince   time.Time // time since which input may have been left unread although the loop ran; zero if none has
+	acceptDelayed bool      // the first input may have arrived well before the connection was accepted
+	backlog       inputBacklog
 	client        *proxy.Client   // nil if the connection is to a worker
 	upstreamID    upstream.ConnID // set if the connection is to a worker
 }
@@ -47,14 +50,21 @@
 	}
 }
 
-// readInput reads up to readSize bytes and passes them to the proxy.
+// readInput reads up to readSize or clientReadSize bytes and passes them to the proxy.
 func (c *connection) readInput() {
 	buffer := c.server.readBuffer
+	if c.client != nil {
+		buffer = buffer[:clientReadSize]
+	}
 	n, err := c.read(buffer)
 	switch {
 	case err == nil && n > 0:
+		polls := c.server.reactor.completePolls
+		c.backlog.beforeRead(polls)
+		readAt := time.Now()
 		c.onData(buffer[:n])
 		c.unreadSince, c.acceptDelayed = time.Time{}, false
+		c.backlog.afterRead(polls, readAt, n == len(buffer))
 	case err == nil:
 		c.onClosed(nil)
 	case syscalls.ClassOf(err) == syscalls.WouldBlock:
@@ -215,8 +225,10 @@
 	}
 	// The clock is read after the system call, since the process may be suspended as the call returns.
 	age := max(reportedAge, estimate.age())
-	if !c.unreadSince.IsZero() {
-		age = max(age, time.Since(c.unreadSince))
+	for _, since := range [...]time.Time{c.unreadSince, c.backlog.since} {
+		if !since.IsZero() {
+			age = max(age, time.Since(since))
+		}
 	}
 	return units.Seconds(age.Seconds())
 }
--- a/internal/eventloop/peer_socket.go
+++ b/internal/eventloop/peer_socket.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +15,8 @@
 	maxDatagram = 2048
 	// receiveRetryDelay is the delay after a failed receive. It keeps a persistent socket error from causing a busy loop.
 	receiveRetryDelay = 10 * time.Millisecond
+	// maxQueuedDatagrams is the number of datagrams that may wait for the event loop. Further ones are dropped.
+	maxQueuedDatagrams = 1024
 )
 
 // peerSocket is the datagram socket for gossip with the other front ends.
@@ -22,6 +25,7 @@
 	receives       bool                    // conn is bound to the PeerListen address
 	targets        []netip.AddrPort        // addresses to which each datagram is sent
 	allowedSenders map[netip.AddrPort]bool // nil allows any sender
+	queued         atomic.Int32            // datagrams that wait for the event loop
 }
 
 // openPeerSocket resolves the peers' addresses and opens the socket if one is needed.
@@ -119,7 +123,15 @@
 		if !s.peers.accepts(from) {
 			continue
 		}
+		if s.peers.queued.Add(1) > maxQueuedDatagrams {
+			s.peers.queued.Add(-1) // gossip tolerates loss
+			s.counters.droppedDatagrams.Add(1)
+			continue
+		}
 		data := bytes.Clone(buffer[:n])
-		s.postIfRunning(func() { s.proxy.OnDatagram(data) })
+		s.postIfRunning(func() {
+			s.peers.queued.Add(-1)
+			s.proxy.OnDatagram(data)
+		})
 	}
 }
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -73,15 +73,18 @@
 	}
 }
 
-// dispatch calls the handlers of the registrations that have events.
-func (p *poller) dispatch(events []unix.EpollEvent) {
+// dispatch calls the handlers of the registrations that have events, at least that of the first event. It returns the events that
+// remain at the given time.
+func (p *poller) dispatch(events []unix.EpollEvent, until time.Time) (remaining []unix.EpollEvent) {
 	for i := range events {
-		if id := registrationID(&events[i]); id != 0 {
-			if reg := p.registrations[id]; reg != nil {
-				reg.handler.onEvents(events[i].Events)
-			}
+		if i > 0 && time.Now().After(until) {
+			return events[i:]
+		}
+		if reg := p.registrations[registrationID(&events[i])]; reg != nil { // the id of the eventfd is no registration's
+			reg.handler.onEvents(events[i].Events)
 		}
 	}
+	return nil
 }
 
 // registrationID returns the id that an event carries. The id of the eventfd is 0.
--- /dev/null
+++ b/internal/eventloop/poller_test.go
@@ -0,0 +1,76 @@
+package eventloop
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// countingHandler counts its events.
+type countingHandler struct{ events int }
+
+func (h *countingHandler) onEvents(uint32) { h.events++ }
+
+// Guards against socket events that keep the loop from its timers: those left at the end of the budget are returned.
+func TestDispatch_EndsWithItsBudget(t *testing.T) {
+	handlers := []*countingHandler{{}, {}, {}}
+	p := &poller{registrations: map[uint64]*registration{}}
+	events := make([]unix.EpollEvent, len(handlers))
+	for i, handler := range handlers {
+		p.registrations[uint64(i+1)] = &registration{handler: handler}
+		events[i].Fd = int32(i + 1)
+	}
+	for remaining := events; len(remaining) > 0; {
+		next := p.dispatch(remaining, time.Now().Add(-time.Second))
+		if len(next) != len(remaining)-1 {
+			t.Fatalf("%d of %d events remain", len(next), len(remaining))
+		}
+		remaining = next
+	}
+	for i, handler := range handlers {
+		if handler.events != 1 {
+			t.Errorf("handler %d got %d events", i, handler.events)
+		}
+	}
+}
+
+// Guards against a deadline that is too late because a part of the input was left unread, and against one that is too early because
+// nothing was.
+func TestInputBacklog_AgeOfInput(t *testing.T) {
+	start := time.Now()
+	const full, partial = true, false
+	type read struct {
+		poll uint64
+		full bool
+	}
+	for name, c := range map[string]struct {
+		reads []read // a second apart; the last one is about to be made
+		want  time.Duration
+	}{
+		"all was read":                    {[]read{{1, partial}, {2, partial}}, 0},
+		"some was left":                   {[]read{{1, full}, {2, partial}}, time.Second},
+		"some was left twice":             {[]read{{1, full}, {2, full}, {3, full}}, 2 * time.Second},
+		"left, then all read":             {[]read{{1, full}, {2, partial}, {3, partial}}, 0},
+		"not reported by the next poll":   {[]read{{1, full}, {3, partial}}, 0},
+		"reported by an incomplete poll":  {[]read{{1, full}, {1, full}, {2, partial}}, 2 * time.Second},
+		"left again after it was drained": {[]read{{1, full}, {5, full}, {6, partial}}, time.Second},
+	} {
+		var b inputBacklog
+		at := start
+		for i, r := range c.reads {
+			b.beforeRead(r.poll)
+			if i < len(c.reads)-1 {
+				b.afterRead(r.poll, at, r.full)
+				at = at.Add(time.Second)
+			}
+		}
+		got := time.Duration(0)
+		if !b.since.IsZero() {
+			got = at.Sub(b.since)
+		}
+		if got != c.want {
+			t.Errorf("%s: age %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/eventloop/reactor.go
+++ b/internal/eventloop/reactor.go
@@ -20,6 +20,10 @@
 	slowIteration = 100 * time.Millisecond
 	// retryDelay is the delay before a call that failed for lack of a local resource is retried.
 	retryDelay = 10 * time.Millisecond
+	// socketBudget is the time after which the remaining socket events of an iteration wait for the next one, so that tasks and
+	// timers are run meanwhile. taskBudget is the same for tasks.
+	socketBudget = 10 * time.Millisecond
+	taskBudget   = 10 * time.Millisecond
 	// longestWait is the maximum duration of a wait for events while the server runs.
 	longestWait = time.Duration(proxy.SweepInterval * float64(time.Second))
 	// schedulingMargin is the scheduling delay that is normal on a machine that is not overloaded.
@@ -36,6 +40,8 @@
 	tasks    taskQueue
 	inputAge inputAgeEstimator
 	stopping bool
+	// completePolls counts the waits that reported all descriptors which had events.
+	completePolls uint64
 }
 
 // newReactor returns a reactor that is not running yet.
@@ -50,8 +56,13 @@
 // run runs the event loop until stop is called or the wait for events fails. It closes no descriptors.
 func (r *reactor) run() error {
 	events := make([]unix.EpollEvent, maxEventsPerIteration)
-	var entered time.Time // start of the wait in progress; zero if there is none
+	var remaining []unix.EpollEvent // of the last wait
+	var entered time.Time           // start of the wait in progress; zero if there is none
 	for !r.stopping {
+		if len(remaining) > 0 {
+			remaining = r.iterate(remaining)
+			continue
+		}
 		now := time.Now()
 		if entered.IsZero() {
 			entered = now
@@ -64,19 +75,23 @@
 			r.inputAge.observeWait(entered, time.Now())
 			entered = time.Time{}
 		}
+		if n < len(events) {
+			r.completePolls++
+		}
 		r.tasks.endWait()
-		r.iterate(events[:max(n, 0)])
+		remaining = r.iterate(events[:max(n, 0)])
 	}
 	return nil
 }
 
 // iterate handles the events, then the tasks that are queued, then the timers that are due. Tasks that are posted while
-// tasks run wait for the next iteration, so that they cannot starve the sockets.
-func (r *reactor) iterate(events []unix.EpollEvent) {
+// tasks run wait for the next iteration, so that they cannot starve the sockets. It returns the events that remain when
+// socketBudget has passed.
+func (r *reactor) iterate(events []unix.EpollEvent) (remaining []unix.EpollEvent) {
 	start := time.Now()
-	r.poller.dispatch(events)
+	remaining = r.poller.dispatch(events, start.Add(socketBudget))
 	dispatched := time.Now()
-	tasksRun := r.tasks.run()
+	tasksRun := r.tasks.run(dispatched.Add(taskBudget))
 	r.timers.slowest = timerDuration{}
 	now := time.Now()
 	r.timers.runProxyTimers(now)
@@ -85,10 +100,11 @@
 	if took := time.Since(start); took > slowIteration {
 		r.counters.slowIterations.Add(1)
 		slowest := r.timers.slowest
-		r.log.Warn("event loop iteration slow", "seconds", took.Seconds(), "sockets", len(events),
+		r.log.Warn("event loop iteration slow", "seconds", took.Seconds(), "sockets", len(events)-len(remaining),
 			"sockets_seconds", dispatched.Sub(start).Seconds(), "posted", tasksRun, "timer", slowest.name,
 			"timer_seconds", slowest.took.Seconds())
 	}
+	return remaining
 }
 
 // waitTimeout returns the timeout of the next wait in milliseconds; -1 means no limit.
--- a/internal/eventloop/task_queue.go
+++ b/internal/eventloop/task_queue.go
@@ -1,6 +1,10 @@
 package eventloop
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
 // taskQueue holds functions that other goroutines post to the event loop. Its methods may be called from any goroutine.
 type taskQueue struct {
@@ -42,18 +46,32 @@
 	q.awake = true
 }
 
-// run runs the tasks that are queued when it is called and returns their number. Tasks that they post stay queued.
-func (q *taskQueue) run() int {
+// run runs the tasks that are queued when it is called, at least one of them, until the given time, and returns their number. Tasks
+// that they post stay queued.
+func (q *taskQueue) run(until time.Time) int {
 	q.mu.Lock()
 	tasks := q.tasks
 	q.tasks = nil
 	q.mu.Unlock()
-	for _, f := range tasks {
+	for i, f := range tasks {
+		if i > 0 && time.Now().After(until) {
+			q.putBack(tasks[i:])
+			return i
+		}
 		f()
 	}
 	return len(tasks)
 }
 
+// putBack queues tasks before those that were posted in the meantime.
+func (q *taskQueue) putBack(tasks []func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.closed {
+		q.tasks = append(slices.Clone(tasks), q.tasks...)
+	}
+}
+
 // close discards the queued tasks and rejects further ones.
 func (q *taskQueue) close() {
 	q.mu.Lock()
