An attempt is sent once the input of its client is read to the end

Cause: before each attempt is sent, its client's input is read, as a cancellation may be in it: up to 1 MiB for each attempt, however often in one flush. A client that kept writing kept the flush going, without end in the new test; a client with more than 1 MiB unread was taken for one that still waits. Its class is work without a bound in one iteration.

In one flush 16 KiB of a client are read ahead. If input is left, its attempts wait, and are tried again in the next iteration after other connections had their turn. Those that are not sent by their deadline end as not sent: they were counted as timed out at a worker that never saw them, and failed in place of being rejected if they were not idempotent. An eviction spares a client with input left.

--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -40,6 +40,9 @@
 	case control.Unreachable:
 		return CauseWorkerUnreachable
 	case control.NotSent:
+		if d.now >= req.deadline-2*d.settings.Deployment.MinRoundInterval {
+			return CauseDeadlineExceeded
+		}
 		return CauseNotStored
 	case control.ReplicaMissing:
 		return CauseLoadFailed
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -317,3 +317,16 @@
 		t.Errorf("profile stated by the request not applied: %+v", view)
 	}
 }
+
+// Guards against a failure response to a request whose attempt was not sent before its deadline: a retry does no harm.
+func TestAttemptTimeout_UnsentIsRejected(t *testing.T) {
+	for unsent, want := range map[bool]ResponseKind{true: Rejected, false: Failed} {
+		h := newHarness(t, nil)
+		h.submitAndStart(classAtMostOnce, "e")
+		h.unsent = unsent
+		h.advanceTo(h.now + 10)
+		if got := h.responses[1]; len(got) != 1 || got[0].Kind != want || got[0].Cause != CauseDeadlineExceeded {
+			t.Errorf("unsent %v: responses %+v, want %v for the deadline", unsent, got, want)
+		}
+	}
+}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -33,6 +33,7 @@
 	possiblyExecuted map[Identity]bool // by an attempt that has ended
 	atMostOnce       map[Identity]bool // by the class of the request
 	violations       []string
+	unsent           bool // no attempt has been sent
 }
 
 func (h *harness) Respond(to WaiterID, response Response) {
@@ -51,7 +52,7 @@
 }
 
 func (h *harness) SendLoad(command LoadCommand)  { h.loads = append(h.loads, command) }
-func (h *harness) CancelUnsent(uint64) bool      { return false }
+func (h *harness) CancelUnsent(uint64) bool      { return h.unsent }
 func (h *harness) Broadcast([]byte)              {}
 func (h *harness) Store(record Record)           { h.records = append(h.records, record) }
 func (h *harness) OnRequestEnd(Response, *Trace) {}
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -88,13 +88,18 @@
 	}
 }
 
-// onAttemptTimeout abandons an attempt that is still in flight at its deadline.
+// onAttemptTimeout abandons an attempt that is still in flight at its deadline. If it has not been sent by then, that says nothing
+// about its worker.
 func (d *Dispatcher) onAttemptTimeout(id uint64) {
 	attempt := d.inFlight[id]
 	if attempt == nil {
 		return
 	}
 	d.counts.TimedOut++
+	if d.effects.CancelUnsent(attempt.id) {
+		d.endAttempt(attempt, WorkerReply{Outcome: control.NotSent})
+		return
+	}
 	d.effects.Abandon(attempt.id)
 	d.endAttempt(attempt, WorkerReply{Outcome: control.TimedOut})
 }
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -10,7 +10,8 @@
 const (
 	lingerTimeout     = 1.0     // seconds that a client has, after our side was closed, to read responses and close its side
 	maxDiscardedBytes = 1 << 20 // maximum number of bytes that a client may send after our side was closed
-	maxReadAheadBytes = 1 << 20 // maximum number of bytes read ahead of the event loop per call
+	// maxReadAheadBytes is the number of bytes of a client that are read ahead of the event loop in one flush.
+	maxReadAheadBytes = 16 << 10
 )
 
 // Client is a client connection.
@@ -25,6 +26,8 @@
 	discardedBytes         int           // bytes received after our side was closed
 	overflowSince          units.Seconds // time at which it was accepted beyond MaxClients; 0: within the limit
 	closed                 bool
+	readAheadIn            uint64 // the flush in which the client was last read ahead of the event loop
+	readAheadBytes         int    // number of bytes that were read ahead in it
 }
 
 // clientRequest identifies an open request by its connection and the session's slot.
@@ -113,20 +116,28 @@
 	p.scheduleSend(client)
 }
 
-// readAhead processes bytes that the client sent and that the host has not passed on yet, up to a limit.
-func (p *Proxy) readAhead(client *Client) {
-	for read := 0; !client.closed && read < maxReadAheadBytes; {
+// readAhead processes bytes that the client sent and that the host has not passed on yet, and reports whether none are left. It ends
+// when maxReadAheadBytes have been read since the start of the flush.
+func (p *Proxy) readAhead(client *Client) (complete bool) {
+	if client.readAheadIn != p.flushes {
+		client.readAheadIn, client.readAheadBytes = p.flushes, 0
+	}
+	for !client.closed {
+		if client.readAheadBytes >= maxReadAheadBytes {
+			return false
+		}
 		data, open := client.conn.ReadAhead()
 		if !open {
 			p.removeClient(client) // the host will report the close too
-			return
+			return true
 		}
 		if len(data) == 0 {
-			return
+			return true
 		}
-		read += len(data)
+		client.readAheadBytes += len(data)
 		p.feed(client, data)
 	}
+	return true
 }
 
 // deliverResponse passes a response to its waiter, unless the request was canceled or its client disconnected.
--- a/internal/proxy/durability.go
+++ b/internal/proxy/durability.go
@@ -102,7 +102,7 @@
 // cancelPending cancels an attempt that is still pending and reports whether there was one.
 func (p *Proxy) cancelPending(attempt uint64) bool {
 	canceled := false
-	for _, list := range [...][]pendingEffect{p.durability.awaitingNextCommit, p.durability.awaitingCurrentCommit, p.outgoingAttempts} {
+	for _, list := range [...][]pendingEffect{p.durability.awaitingNextCommit, p.durability.awaitingCurrentCommit, p.outgoingAttempts, p.deferredAttempts} {
 		for i := range list {
 			effect := &list[i]
 			if effect.attempt != nil && effect.attempt.ID == attempt {
--- a/internal/proxy/eviction.go
+++ b/internal/proxy/eviction.go
@@ -11,9 +11,9 @@
 		if oldest == nil {
 			return false
 		}
-		p.readAhead(oldest)
-		p.Flush()
-		if since, idle := oldest.session.Idle(); oldest.closed || idle && since == idleSince {
+		complete := p.readAhead(oldest)
+		p.Flush() // also allows the client to be read ahead again
+		if since, idle := oldest.session.Idle(); oldest.closed || complete && idle && since == idleSince {
 			p.closeClient(oldest, CloseEvicted)
 			return true
 		}
--- a/internal/proxy/fake_host_test.go
+++ b/internal/proxy/fake_host_test.go
@@ -16,6 +16,7 @@
 	skew   float64 // seconds that the wall clock is ahead
 	timers []fakeTimer
 	dials  int
+	posted []func()
 }
 
 // fakeTimer is a call of Host.After.
@@ -37,6 +38,15 @@
 	}
 }
 
+// runPosted calls the functions that were posted.
+func (h *fakeHost) runPosted() {
+	posted := h.posted
+	h.posted = nil
+	for _, f := range posted {
+		f()
+	}
+}
+
 // run advances the clock in steps of 50 ms and fires the timers that are due.
 func (h *fakeHost) run(p *Proxy, seconds units.Seconds) {
 	for end := h.now + seconds; h.now < end; h.now += 0.05 {
@@ -53,6 +63,6 @@
 func (h *fakeHost) After(seconds units.Seconds, f func()) {
 	h.timers = append(h.timers, fakeTimer{at: h.now + seconds, f: f})
 }
-func (h *fakeHost) Post(func())                  {}
+func (h *fakeHost) Post(f func())                { h.posted = append(h.posted, f) }
 func (h *fakeHost) Dial(upstream.ConnID, string) { h.dials++ }
 func (h *fakeHost) Broadcast([]byte)             {}
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -13,6 +13,7 @@
 		return
 	}
 	p.flushing = true
+	p.flushes++
 	for p.pendingWork() > 0 || p.pool.Pending() {
 		p.flushUpstream()
 		p.pool.Flush()
@@ -33,19 +34,21 @@
 }
 
 // flushAttempts sends attempts. It first reads the pending input of each attempt's client, because a cancellation or close
-// that was received but not yet read must prevent the attempt.
+// that was received but not yet read must prevent the attempt. If input is left, the attempt waits.
 func (p *Proxy) flushAttempts() {
 	for len(p.outgoingAttempts) > 0 {
 		first := &p.outgoingAttempts[0]
 		p.inputReadAt = p.host.Now()
-		if !first.canceled {
-			p.readClientOf(first.attempt.ID)
-		}
+		complete := first.canceled || p.readClientOf(first.attempt.ID)
 		// Reading may have reallocated the slice or canceled the attempt.
-		canceled, attempt := p.outgoingAttempts[0].canceled, p.outgoingAttempts[0].attempt
+		effect := p.outgoingAttempts[0]
 		p.outgoingAttempts = p.outgoingAttempts[1:]
-		if !canceled {
-			p.pool.SendAttempt(p.host.Now(), *attempt)
+		switch {
+		case effect.canceled:
+		case !complete:
+			p.deferAttempt(effect)
+		default:
+			p.pool.SendAttempt(p.host.Now(), *effect.attempt)
 			p.flushUpstream() // before reading the next client's input: the attempt is already authorized
 		}
 	}
@@ -53,11 +56,28 @@
 	p.outgoingAttempts = nil
 }
 
-// readClientOf reads the pending input of an attempt's client ahead of the event loop.
-func (p *Proxy) readClientOf(attempt uint64) {
-	if request, ok := p.clientRequests[p.dispatcher.FirstWaiter(attempt)]; ok {
-		p.readAhead(request.client)
+// deferAttempt makes an attempt whose client has more input wait until other connections have had their turn.
+func (p *Proxy) deferAttempt(effect pendingEffect) {
+	p.deferredAttempts = append(p.deferredAttempts, effect)
+	if len(p.deferredAttempts) == 1 {
+		p.host.Post(p.retryDeferredAttempts)
+	}
+}
+
+// retryDeferredAttempts sends the deferred attempts whose clients have no more input.
+func (p *Proxy) retryDeferredAttempts() {
+	p.outgoingAttempts = append(p.outgoingAttempts, p.deferredAttempts...)
+	p.deferredAttempts = nil
+	p.Flush()
+}
+
+// readClientOf reads the pending input of an attempt's client ahead of the event loop, and reports whether none is left.
+func (p *Proxy) readClientOf(attempt uint64) (complete bool) {
+	request, ok := p.clientRequests[p.dispatcher.FirstWaiter(attempt)]
+	if !ok {
+		return true
 	}
+	return p.readAhead(request.client)
 }
 
 // flushRejectedAttempts reports to the dispatcher the attempts that were not sent because their records can't be stored.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -72,11 +72,13 @@
 
 	// Work for Flush.
 	flushing           bool
+	flushes            uint64 // number of flushes so far, including the one in progress
 	upstreamOperations []upstreamOperation
 	permittedAt        units.Seconds   // of the message that is being encoded, see recordPermitTime; 0: it needs no permit
 	inputReadAt        units.Seconds   // when the clients of the attempts that are being sent began to be read; 0: they were not
 	rejectedAttempts   []uint64        // attempts to be rejected because their records can't be stored
 	outgoingAttempts   []pendingEffect // attempts that wait until their clients' input has been read
+	deferredAttempts   []pendingEffect // attempts whose clients had more input than is read in a turn
 	clientsToSend      []*Client
 
 	datagramHeader [datagramHeaderSize]byte
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -125,7 +125,9 @@
 		p.upstreamConns[id] = conn
 		p.inputReadAt = p.host.Now()
 		for _, attempt := range p.pool.WaitingFor(id) {
-			p.readClientOf(attempt)
+			if !p.readClientOf(attempt) && p.pool.CancelUnsent(attempt) {
+				p.dispatcher.OnAttemptReply(p.host.Now(), attempt, dispatch.WorkerReply{Outcome: control.NotSent})
+			}
 		}
 	}
 	p.pool.OnDialed(p.host.Now(), id, err)
