Connections are closed as idle, or at a shutdown, once their input is read to the end

What lay unread in the socket was discarded then. A frame whose rest lay unread was taken for one that stays incomplete, and a shutdown closed connections with requests unread.

The same holds before a shutdown closes a connection.

--- a/internal/downstream/cloudevents/session.go
+++ b/internal/downstream/cloudevents/session.go
@@ -199,12 +199,24 @@
 // long is closed without a response.
 func (s *Session) Tick(now units.Seconds) bool {
 	switch {
-	case s.readClosed || s.disconnected:
-	case !s.framer.Idle() && now-s.requestStart > s.limits.RequestTimeout:
+	case !s.TimedOut(now):
+	case s.framer.Idle():
+		s.readClosed = true
+	default:
 		s.fail(newRequestTimeoutError(float64(s.limits.RequestTimeout)))
 		s.Advance(now)
-	case s.framer.Idle() && len(s.pending) == 0 && now-s.lastActivity > s.limits.IdleTimeout:
-		s.readClosed = true
 	}
 	return s.output.Len() > 0 || s.Done()
 }
+
+// TimedOut reports whether a request was not completed in time, or the connection was idle for too long.
+func (s *Session) TimedOut(now units.Seconds) bool {
+	switch {
+	case s.readClosed || s.disconnected:
+		return false
+	case s.framer.Idle():
+		return len(s.pending) == 0 && now-s.lastActivity > s.limits.IdleTimeout
+	default:
+		return now-s.requestStart > s.limits.RequestTimeout
+	}
+}
--- a/internal/downstream/frames/session.go
+++ b/internal/downstream/frames/session.go
@@ -209,14 +209,37 @@
 // complete in time, it sends a connection error and stops reading. A connection without a first frame in time, or idle for
 // too long, is closed without an error.
 func (s *Session) Tick(now units.Seconds) bool {
-	noFirstFrame := !s.frameReceived && now-s.lastActivity > s.limits.FirstFrameTimeout
 	switch {
-	case s.readClosed || s.disconnected:
-	case !s.framer.idle() && (now-s.frameStart > s.limits.FrameTimeout || noFirstFrame):
+	case s.frameTimedOut(now):
 		s.fail("frame: not whole in time")
-	case !s.framer.idle() || len(s.openStreams) > 0:
-	case noFirstFrame || now-s.lastActivity > s.limits.IdleTimeout:
+	case s.idleTimedOut(now):
 		s.readClosed = true
 	}
 	return len(s.output) > 0 || s.Done()
 }
+
+// TimedOut reports whether a timeout has passed that Tick applies.
+func (s *Session) TimedOut(now units.Seconds) bool {
+	return s.frameTimedOut(now) || s.idleTimedOut(now)
+}
+
+// frameTimedOut reports whether an incomplete frame was not completed in time.
+func (s *Session) frameTimedOut(now units.Seconds) bool {
+	if s.readClosed || s.disconnected || s.framer.idle() {
+		return false
+	}
+	return now-s.frameStart > s.limits.FrameTimeout || s.lacksFirstFrame(now)
+}
+
+// idleTimedOut reports whether the connection, on which nothing is open, was idle for too long.
+func (s *Session) idleTimedOut(now units.Seconds) bool {
+	if s.readClosed || s.disconnected || !s.framer.idle() || len(s.openStreams) > 0 {
+		return false
+	}
+	return now-s.lastActivity > s.limits.IdleTimeout || s.lacksFirstFrame(now)
+}
+
+// lacksFirstFrame reports whether no frame was completed within FirstFrameTimeout.
+func (s *Session) lacksFirstFrame(now units.Seconds) bool {
+	return !s.frameReceived && now-s.lastActivity > s.limits.FirstFrameTimeout
+}
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -180,14 +180,25 @@
 			return
 		}
 	}
-	ended := client.session.Done() || client.closeAfterLastResponse && len(client.waiters) == 0
-	if ended && client.writeClosedAt == 0 && client.conn.Unsent() == 0 {
+	if client.writeClosedAt == 0 && client.conn.Unsent() == 0 && p.hasEnded(client) {
 		// The client may still be sending: a full close could reset the connection and lose the response (RFC 9112 9.6).
 		client.writeClosedAt = p.host.Now()
 		client.conn.CloseWrite()
 	}
 }
 
+// hasEnded reports whether our side is to be closed: no request is open, and none will be accepted or has been sent.
+func (p *Proxy) hasEnded(client *Client) bool {
+	if client.session.Done() {
+		return true
+	}
+	if !client.closeAfterLastResponse || len(client.waiters) > 0 {
+		return false
+	}
+	isRead := p.readAhead(client)
+	return isRead && !client.closed && !client.sendScheduled // input may have led to a response
+}
+
 // sweepClients closes overdue overflow connections and connections past their linger timeout, and enforces the timeouts of
 // the other sessions. It iterates backward, because removing a client moves the last one, which was already visited, to its
 // place.
@@ -200,9 +211,18 @@
 			p.closeClient(client, CloseLingerTimeout)
 			continue
 		}
-		if client.session.Tick(now) || client.closeAfterLastResponse {
-			p.scheduleSend(client)
-		}
+		p.applyTimeouts(client, now)
+	}
+}
+
+// applyTimeouts enforces the timeouts of a session, once all that its client has sent is read: the event loop may have been held up for
+// longer than a timeout.
+func (p *Proxy) applyTimeouts(client *Client, now units.Seconds) {
+	if client.session.TimedOut(now) && (!p.readAhead(client) || client.closed) {
+		return
+	}
+	if client.session.Tick(now) || client.closeAfterLastResponse {
+		p.scheduleSend(client)
 	}
 }
 
--- a/internal/proxy/interfaces.go
+++ b/internal/proxy/interfaces.go
@@ -26,6 +26,9 @@
 	Output() []byte
 	// Done reports whether the connection is to be closed once all output is sent.
 	Done() bool
+	// TimedOut reports whether Tick would end the connection or reject incomplete input. Input that the host has not passed on yet
+	// may prevent that.
+	TimedOut(now units.Seconds) bool
 	// Tick enforces the session's timeouts. It reports whether there may be new output or the session is done.
 	Tick(now units.Seconds) bool
 	// Drain asks the client to send no more requests. Open requests still get their responses.
--- a/internal/proxy/read_ahead_test.go
+++ b/internal/proxy/read_ahead_test.go
@@ -170,3 +170,33 @@
 		}
 	}
 }
+
+// Guards against a connection that is closed with requests on it that were sent but not read, because the event loop was held up for
+// longer than a timeout, or because the front end shuts down.
+func TestSweep_ReadsBeforeItCloses(t *testing.T) {
+	const idleTimeout = 5
+	padding := bytes.Repeat([]byte{paddingLetter}, 10<<10)
+	sweep := (*Proxy).Sweep
+	for name, c := range map[string]struct {
+		conn  *inputConn
+		end   func(*Proxy)
+		ended bool // our side is closed
+		sent  int  // attempts
+	}{
+		"idle":                           {&inputConn{}, sweep, true, 0},
+		"idle, a request is unread":      {&inputConn{input: [][]byte{{requestLetter}}}, sweep, false, 1},
+		"idle, much input is unread":     {&inputConn{endless: padding}, sweep, false, 0},
+		"idle, the client has left":      {&inputConn{closing: true}, sweep, false, 0},
+		"shutdown":                       {&inputConn{}, (*Proxy).CloseClients, true, 0},
+		"shutdown, a request is unread":  {&inputConn{input: [][]byte{{requestLetter}}}, (*Proxy).CloseClients, false, 1},
+		"shutdown, much input is unread": {&inputConn{endless: padding}, (*Proxy).CloseClients, false, 0},
+	} {
+		p, host, pool := newReadAheadProxy(idleTimeout)
+		p.OnClientData(p.Accept(c.conn), []byte{paddingLetter})
+		host.now += idleTimeout + 1
+		c.end(p)
+		if c.conn.ended != c.ended || pool.sent != c.sent {
+			t.Errorf("%s: our side closed %v, %d attempts, want %v, %d", name, c.conn.ended, pool.sent, c.ended, c.sent)
+		}
+	}
+}
