Log clients that send more than is read, iterations in progress, and why we close

Once a second, the client that sent most among those whose attempts had to wait is logged with its bytes, requests, cancellations and deferred attempts. An iteration that lasts over a second is logged while it lasts. A connection whose client side we close is counted and logged by its reason.

--- a/internal/eventloop/reactor.go
+++ b/internal/eventloop/reactor.go
@@ -39,6 +39,7 @@
 	timers   timers
 	tasks    taskQueue
 	inputAge inputAgeEstimator
+	stalls   stallWatch
 	stopping bool
 	// completePolls counts the waits that reported all descriptors which had events.
 	completePolls uint64
@@ -50,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reactor{log: log, counters: counters, poller: poller, tasks: taskQueue{wakeLoop: poller.wake}}, nil
+	return &reactor{log: log, counters: counters, poller: poller, tasks: taskQueue{wakeLoop: poller.wake}, stalls: stallWatch{log: log}}, nil
 }
 
 // run runs the event loop until stop is called or the wait for events fails. It closes no descriptors.
@@ -89,6 +90,8 @@
 // socketBudget has passed.
 func (r *reactor) iterate(events []unix.EpollEvent) (remaining []unix.EpollEvent) {
 	start := time.Now()
+	r.stalls.begin(start)
+	defer r.stalls.end()
 	remaining = r.poller.dispatch(events, start.Add(socketBudget))
 	dispatched := time.Now()
 	tasksRun := r.tasks.run(dispatched.Add(taskBudget))
--- a/internal/eventloop/server.go
+++ b/internal/eventloop/server.go
@@ -82,6 +82,7 @@
 		return nil, err
 	}
 	s.background.Go(s.runLoop)
+	s.background.Go(func() { s.reactor.stalls.run(s.loopEnded) })
 	if err := <-s.started; err != nil {
 		s.peers.close()
 		return nil, fmt.Errorf("front end %s: %w", settings.Name, err)
--- a/internal/proxy/close_reason.go
+++ b/internal/proxy/close_reason.go
@@ -16,12 +16,14 @@
 	CloseExcessInput                        // the client sent too many bytes after our side was closed
 	RejectedFull                            // the connection limit is reached, and no connection is idle
 	RejectedDraining                        // no connections are accepted while draining
+	EndedBySession                          // our side was closed after a timeout, a malformed message or the client's wish
+	EndedByShutdown                         // our side was closed after the last response
 	closeReasonCount                        // number of values
 )
 
 // String returns the reason's name in logs.
 func (r CloseReason) String() string {
-	return [closeReasonCount]string{"evicted", "unread", "lingered", "oversent", "full", "draining"}[r]
+	return [closeReasonCount]string{"evicted", "unread", "lingered", "oversent", "full", "draining", "ended", "shutdown"}[r]
 }
 
 // closeCounts counts the client connections that the front end closed or rejected.
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -26,6 +26,7 @@
 	discardedBytes         int           // bytes received after our side was closed
 	overflowSince          units.Seconds // time at which it was accepted beyond MaxClients; 0: within the limit
 	closed                 bool
+	load                   clientLoad
 	readAheadIn            uint64 // the flush in which the client was last read ahead of the event loop
 	readAheadBytes         int    // number of bytes that were read ahead in it
 }
@@ -49,6 +50,7 @@
 		p.rejectRequest(h.client, slot, &request)
 		return
 	}
+	h.client.load.requests++
 	p.lastWaiter++
 	p.clientRequests[p.lastWaiter] = clientRequest{h.client, slot}
 	h.client.waiters[slot] = p.lastWaiter
@@ -60,6 +62,7 @@
 // Cancel implements downstream.RequestHandler.
 func (h *clientHandler) Cancel(slot uint64) {
 	if waiter, ok := h.client.waiters[slot]; ok {
+		h.client.load.cancelled++
 		delete(h.client.waiters, slot)
 		delete(h.proxy.clientRequests, waiter)
 		h.proxy.dispatcher.OnCancel(h.proxy.host.Now(), waiter)
@@ -112,6 +115,7 @@
 		}
 		return
 	}
+	client.load.bytes += len(data)
 	client.session.Feed(p.host.Now(), p.host.Wall(), data)
 	p.scheduleSend(client)
 }
@@ -182,11 +186,21 @@
 	}
 	if client.writeClosedAt == 0 && client.conn.Unsent() == 0 && p.hasEnded(client) {
 		// The client may still be sending: a full close could reset the connection and lose the response (RFC 9112 9.6).
-		client.writeClosedAt = p.host.Now()
-		client.conn.CloseWrite()
+		p.closeWrite(client)
 	}
 }
 
+// closeWrite closes our side of a connection.
+func (p *Proxy) closeWrite(client *Client) {
+	client.writeClosedAt = p.host.Now()
+	client.conn.CloseWrite()
+	reason := EndedByShutdown
+	if client.session.Done() {
+		reason = EndedBySession
+	}
+	p.recordClose(client.conn.RemoteAddr(), reason, len(client.waiters))
+}
+
 // hasEnded reports whether our side is to be closed: no request is open, and none will be accepted or has been sent.
 func (p *Proxy) hasEnded(client *Client) bool {
 	if client.session.Done() {
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -46,6 +46,7 @@
 		switch {
 		case effect.canceled:
 		case !complete:
+			p.countDeferral(effect.attempt.ID)
 			p.deferAttempt(effect)
 		default:
 			p.pool.SendAttempt(p.host.Now(), *effect.attempt)
@@ -56,6 +57,13 @@
 	p.outgoingAttempts = nil
 }
 
+// countDeferral counts a deferred attempt for its client.
+func (p *Proxy) countDeferral(attempt uint64) {
+	if request, ok := p.clientRequests[p.dispatcher.FirstWaiter(attempt)]; ok {
+		request.client.load.deferred++
+	}
+}
+
 // deferAttempt makes an attempt whose client has more input wait until other connections have had their turn.
 func (p *Proxy) deferAttempt(effect pendingEffect) {
 	p.deferredAttempts = append(p.deferredAttempts, effect)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -63,7 +63,8 @@
 	internalWaiters map[dispatch.WaiterID]func(dispatch.Response) // submitted by Proxy.Submit
 
 	clients       []*Client
-	overflow      int // number of clients beyond MaxClients
+	loadCountedAt units.Seconds // see logClientLoad
+	overflow      int           // number of clients beyond MaxClients
 	upstreamConns map[upstream.ConnID]Conn
 	endpoints     endpointState
 	durability    durabilityBarrier
@@ -151,6 +152,7 @@
 	p.sweepClients(now)
 	p.logWorkersDrainingByRejection()
 	p.logAvailability()
+	p.logClientLoad(now)
 	p.Flush()
 }
 
