Requests count with the time that their connection waited to be accepted

Causes, traced by the age that each request was given: one iteration accepted 64 connections, and nothing told for how long the others had waited; a wait for events reported 128 descriptors at most, so that input of the others counted as new; and a connection that waited was asked when it received data last, which says nothing of its first request. After accept had failed, connections counted as waiting since then for as long as the queue was not empty.

Accepting ends after 5 ms. The length of the kernel's queue tells which of the connections that are accepted later may have waited since then.

--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -15,8 +15,8 @@
 const (
 	// listenBacklog is the requested length of the accept queue. The kernel may limit it further.
 	listenBacklog = 4096
-	// maxAcceptsPerIteration is the maximum number of connections accepted in one iteration, before other sockets are handled.
-	maxAcceptsPerIteration = 64
+	// acceptBudget is the time after which connections that still wait are accepted in the next iteration.
+	acceptBudget = 5 * time.Millisecond
 	// After accept fails for lack of a local resource, the delay before the next accept doubles between these bounds.
 	initialAcceptBackoff = 10 * time.Millisecond
 	maxAcceptBackoff     = 500 * time.Millisecond
@@ -32,7 +32,7 @@
 	fd           int
 	registration *registration // nil before listen and after close
 	backoff      time.Duration // 0 unless the last accept failed
-	pausedSince  time.Time     // time since which connections may have been waiting because accept fails; zero if none are
+	backlog      acceptBacklog // connections that wait because one iteration accepts no more, or because accept fails
 }
 
 // openListener binds a socket to an address and returns the bound address, which has the selected port if the port was 0.
@@ -93,16 +93,26 @@
 	return nil
 }
 
-// onEvents implements eventHandler. It accepts up to maxAcceptsPerIteration connections.
+// onEvents implements eventHandler.
 func (l *listener) onEvents(uint32) {
-	for range maxAcceptsPerIteration {
+	startedAt := time.Now()
+	if l.acceptWaiting(startedAt.Add(acceptBudget)) || l.registration == nil {
+		l.backlog = acceptBacklog{}
+		return
+	}
+	l.backlog.onLeft(startedAt, func() (int, error) { return l.server.kernel.AcceptQueueLength(l.fd) })
+}
+
+// acceptWaiting accepts connections until the given time, and reports whether none are left.
+func (l *listener) acceptWaiting(until time.Time) (complete bool) {
+	for !time.Now().After(until) {
 		if l.registration == nil {
-			return // closed while an accepted connection was handled
+			return true // closed while an accepted connection was handled
 		}
 		fd, peer, err := l.server.kernel.Accept(l.fd)
 		if err == nil {
 			l.backoff = 0
-			l.server.onAccepted(fd, addrPortOf(peer), l.pausedSince)
+			l.server.onAccepted(fd, addrPortOf(peer), l.backlog.onAccepted())
 			continue
 		}
 		switch syscalls.ClassOfAccept(err) {
@@ -110,21 +120,18 @@
 		case syscalls.PeerClosed:
 			l.server.counters.abortedConnections.Add(1)
 		case syscalls.WouldBlock:
-			l.pausedSince = time.Time{}
-			return
+			return true
 		default:
 			l.pauseAccepting(err)
-			return
+			return false
 		}
 	}
+	return false
 }
 
 // pauseAccepting stops accepting for the backoff delay, so that resources can become available again; connections stay in
 // the accept queue meanwhile. It evicts an idle client if the settings allow that.
 func (l *listener) pauseAccepting(err error) {
-	if l.pausedSince.IsZero() {
-		l.pausedSince = time.Now()
-	}
 	l.backoff = min(max(2*l.backoff, initialAcceptBackoff), maxAcceptBackoff)
 	s := l.server
 	s.counters.acceptFailures.Add(1)
@@ -148,15 +155,14 @@
 	l.registration = nil
 }
 
-// onAccepted passes an accepted connection to the proxy. pausedSince is the time since which accepting was paused, or zero.
-func (s *Server) onAccepted(fd int, peer netip.AddrPort, pausedSince time.Time) {
-	c := &connection{server: s, remoteAddr: peer, acceptDelayed: s.reactor.inputAge.waitedLong || !pausedSince.IsZero()}
+// onAccepted passes an accepted connection to the proxy. waitingSince is the time since which it may have waited to be accepted, or
+// zero.
+func (s *Server) onAccepted(fd int, peer netip.AddrPort, waitingSince time.Time) {
+	c := &connection{server: s, remoteAddr: peer, acceptDelayed: s.reactor.inputAge.waitedLong || !waitingSince.IsZero()}
 	c.registration = s.reactor.poller.register(fd, readEvents, c)
 	switch {
-	case !pausedSince.IsZero(): // InputAge prefers the arrival time that the kernel reports
-		if _, err := s.kernel.LastReceived(fd); err != nil {
-			c.unreadSince = pausedSince
-		}
+	case !waitingSince.IsZero(): // the kernel reports when input arrived last, which may be long after the first
+		c.unreadSince = waitingSince
 	case s.reactor.inputAge.age() > 0: // input may have arrived as early as the connection
 		c.unreadSince = s.reactor.inputAge.earliestArrival
 	case !c.registration.added:
--- a/internal/eventloop/poller_test.go
+++ b/internal/eventloop/poller_test.go
@@ -74,3 +74,36 @@
 		}
 	}
 }
+
+// Guards against connections that count as having waited for as long as there was any backlog, and against ones that count as new.
+func TestAcceptBacklog_BoundsWaits(t *testing.T) {
+	first := time.Now()
+	queue := func(length int, err error) func() (int, error) { return func() (int, error) { return length, err } }
+	for name, c := range map[string]struct {
+		lengths  []func() (int, error) // of the queue, at the end of successive iterations
+		accepted int                   // after that
+		renewed  bool                  // the bound is later than the first iteration
+	}{
+		"no connection waits any more":   {[]func() (int, error){queue(2, nil)}, 2, true},
+		"one still waits":                {[]func() (int, error){queue(2, nil)}, 1, false},
+		"more came later":                {[]func() (int, error){queue(2, nil), queue(9, nil)}, 2, true},
+		"the length is not known":        {[]func() (int, error){queue(0, unix.ENOPROTOOPT)}, 5, false},
+		"nothing was accepted meanwhile": {[]func() (int, error){queue(2, nil), queue(2, nil)}, 0, false},
+	} {
+		var b acceptBacklog
+		if !b.onAccepted().IsZero() {
+			t.Errorf("%s: a connection has waited before there was a backlog", name)
+		}
+		for _, length := range c.lengths {
+			b.onLeft(first, length)
+		}
+		for range c.accepted {
+			if since := b.onAccepted(); !since.Equal(first) {
+				t.Errorf("%s: a connection that waited counts as established at %v", name, since)
+			}
+		}
+		if since := b.onAccepted(); since.IsZero() || since.After(first) != c.renewed {
+			t.Errorf("%s: the next connection counts as established %v after the first", name, since.Sub(first))
+		}
+	}
+}
--- a/internal/eventloop/reactor.go
+++ b/internal/eventloop/reactor.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxEventsPerIteration is the maximum number of events that are handled before tasks and timers run.
-	maxEventsPerIteration = 128
+	// maxEventsPerPoll is the maximum number of descriptors that one wait reports. If more had events, the age of their input would
+	// be underestimated.
+	maxEventsPerPoll = 4096
 	// slowIteration is the duration above which an iteration is logged: the loop may detect a client's disconnection late by
 	// that time.
 	slowIteration = 100 * time.Millisecond
@@ -56,7 +57,7 @@
 
 // run runs the event loop until stop is called or the wait for events fails. It closes no descriptors.
 func (r *reactor) run() error {
-	events := make([]unix.EpollEvent, maxEventsPerIteration)
+	events := make([]unix.EpollEvent, maxEventsPerPoll)
 	var remaining []unix.EpollEvent // of the last wait
 	var entered time.Time           // start of the wait in progress; zero if there is none
 	for !r.stopping {
--- a/internal/syscalls/kernel.go
+++ b/internal/syscalls/kernel.go
@@ -22,6 +22,8 @@
 	ShutdownWrite(fd int) error
 	// LastReceived returns the time since a connection last received data.
 	LastReceived(fd int) (ago time.Duration, err error)
+	// AcceptQueueLength returns the number of connections that a listener could accept now.
+	AcceptQueueLength(listener int) (int, error)
 	// Close closes a descriptor. The descriptor is released even if Close fails.
 	Close(fd int) error
 	EpollCreate() (epoll int, err error)
@@ -94,6 +96,15 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
 }
 
+// AcceptQueueLength implements Kernel.
+func (Linux) AcceptQueueLength(listener int) (int, error) {
+	info, err := unix.GetsockoptTCPInfo(listener, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, err
+	}
+	return int(info.Unacked), nil // for a listener, the kernel states the length of the queue in this field
+}
+
 // Close implements Kernel.
 func (Linux) Close(fd int) error { return unix.Close(fd) }
 
