At the limit, a connection without a complete message makes room before a served one

Cause: a connection with a part of a message was never evicted, though nothing is owed for a message that is not whole. Now the connection that has gone longest without a complete message since it was accepted is evicted first, once its input is read to the end; then the one that has been idle longest, as before.

--- a/cmd/streamcleat/flood_test.go
+++ b/cmd/streamcleat/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"testing"
 	"time"
@@ -65,3 +66,25 @@
 	}
 	return result
 }
+
+// Guards against memory over the limit and lost requests of other clients while hundreds of connections write slowly, stop half way,
+// send very many short fields, or leave with requests unread, also beside a flood.
+func TestFlood_CrowdsOfSlowClients(t *testing.T) {
+	exclusive.Acquire(t)
+	program, err := exec.LookPath("streamcleat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		crowd       soak.CrowdKind
+		connections int // of a flood beside the crowd
+	}{
+		{soak.CrowdTrickles, 0}, {soak.CrowdStops, 0}, {soak.CrowdManyFields, 0}, {soak.CrowdLeaves, 0}, {soak.CrowdStops, 8},
+	} {
+		t.Run(fmt.Sprintf("%s, flood of %d", c.crowd, c.connections), func(t *testing.T) {
+			runFlood(t, program, &soak.FloodScenario{
+				Kind: soak.NewFunctionsCancelled, Connections: c.connections, Crowd: c.crowd, Duration: 5 * time.Second,
+			}, true)
+		})
+	}
+}
--- a/internal/downstream/cloudevents/session.go
+++ b/internal/downstream/cloudevents/session.go
@@ -164,6 +164,9 @@
 	return output
 }
 
+// IsNew reports whether no request has been received completely.
+func (s *Session) IsNew() bool { return s.lastSlot == 0 }
+
 // Idle reports whether no request is pending or incomplete, and the time of the last activity.
 func (s *Session) Idle() (since units.Seconds, idle bool) {
 	return s.lastActivity, s.framer.Idle() && len(s.pending) == 0
--- a/internal/downstream/frames/session.go
+++ b/internal/downstream/frames/session.go
@@ -186,6 +186,9 @@
 	return s.lastActivity, len(s.openStreams) == 0 && s.framer.idle()
 }
 
+// IsNew reports whether no frame has been received completely.
+func (s *Session) IsNew() bool { return !s.frameReceived }
+
 // Disconnected cancels the open requests of a connection that the client closed or that failed.
 func (s *Session) Disconnected() {
 	s.disconnected = true
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -26,6 +26,7 @@
 	discardedBytes         int           // bytes received after our side was closed
 	overflowSince          units.Seconds // time at which it was accepted beyond MaxClients; 0: within the limit
 	closed                 bool
+	acceptedAt             units.Seconds
 	load                   clientLoad
 	readAheadIn            uint64 // the flush in which the client was last read ahead of the event loop
 	readAheadBytes         int    // number of bytes that were read ahead in it
@@ -80,7 +81,7 @@
 		p.recordClose(conn.RemoteAddr(), RejectedFull, 0)
 		return nil
 	}
-	client := &Client{conn: conn, index: len(p.clients), waiters: map[uint64]dispatch.WaiterID{}}
+	client := &Client{conn: conn, index: len(p.clients), acceptedAt: p.host.Now(), waiters: map[uint64]dispatch.WaiterID{}}
 	if isOverflow {
 		client.overflowSince = p.host.Now()
 		p.overflow++
--- a/internal/proxy/eviction_test.go
+++ b/internal/proxy/eviction_test.go
@@ -54,3 +54,37 @@
 		t.Error(closes, unanswered)
 	}
 }
+
+// Guards against new clients that are turned away, and served ones that lose their connection, while connections with unfinished first
+// messages fill the limit.
+func TestEvictIdleClient_PrefersUnfinishedFirstMessages(t *testing.T) {
+	endless := &inputConn{endless: []byte{paddingLetter}}
+	for name, c := range map[string]struct {
+		conns   []*inputConn // in the order in which they are accepted
+		first   []string     // what each sends at once
+		evicted int          // index; -1: none
+	}{
+		"served one is older":              {[]*inputConn{{}, {}}, []string{"rc", "."}, 1},
+		"served ones only":                 {[]*inputConn{{}, {}}, []string{"rc", "rc"}, 0},
+		"oldest unfinished":                {[]*inputConn{{}, {}}, []string{".", "."}, 0},
+		"unfinished one has sent more":     {[]*inputConn{{input: [][]byte{{requestLetter}}}, {}}, []string{".", "."}, 1},
+		"requests are open":                {[]*inputConn{{}, {}}, []string{"r", "r"}, -1},
+		"one goes on sending, one is idle": {[]*inputConn{endless, {}}, []string{"r", "rc"}, 1},
+	} {
+		p, host, _ := newReadAheadProxy(10)
+		p.settings.EvictIdleClients, p.settings.MaxClients = true, len(c.conns)
+		for i, conn := range c.conns {
+			p.OnClientData(p.Accept(conn), []byte(c.first[i]))
+			host.now++
+		}
+		accepted := p.Accept(&inputConn{}) != nil
+		if accepted != (c.evicted >= 0) {
+			t.Errorf("%s: accepted %v", name, accepted)
+		}
+		for i, conn := range c.conns {
+			if conn.closed != (i == c.evicted) {
+				t.Errorf("%s: connection %d closed %v", name, i, conn.closed)
+			}
+		}
+	}
+}
--- a/internal/proxy/interfaces.go
+++ b/internal/proxy/interfaces.go
@@ -37,6 +37,8 @@
 	Disconnected()
 	// Idle reports whether no request is open or partially received, and since when.
 	Idle() (since units.Seconds, idle bool)
+	// IsNew reports whether no message has been received completely.
+	IsNew() bool
 }
 
 // Transport provides connections to workers for an UpstreamPool.
--- a/internal/proxy/read_ahead_test.go
+++ b/internal/proxy/read_ahead_test.go
@@ -64,6 +64,8 @@
 	return len(s.open) == 0 && now-s.activity > s.timeout
 }
 
+func (s *letterSession) IsNew() bool { return s.lastSlot == 0 }
+
 func (s *letterSession) Disconnected() {
 	for slot := range s.lastSlot {
 		s.handler.Cancel(slot + 1)
