--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -98,6 +98,7 @@
 		d.storeEndRecord(req, response)
 	}
 	d.cacheResponse(req, response)
+	d.rememberExecution(req)
 	d.countResponse(response)
 	d.traceStep(req, response.Kind.String(), "", response.Cause.String())
 	for i, w := range req.waiters {
@@ -116,6 +117,14 @@
 	d.effects.OnRequestEnd(response, trace)
 }
 
+// rememberExecution remembers a request that may have been executed, unless it may be executed again or its response is cached.
+func (d *Dispatcher) rememberExecution(req *openRequest) {
+	if d.settings.DeduplicationWindow > 0 || !req.possiblyExecuted || req.class.Semantics == control.Idempotent {
+		return
+	}
+	d.executed.add(executedRequest{req.request.Identity, req.class, req.firstExecutedAt, d.now})
+}
+
 // countResponse adds a final response to the totals.
 func (d *Dispatcher) countResponse(response Response) {
 	switch response.Kind {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,6 +55,7 @@
 	timers          timerQueue
 	timerSequence   uint64
 	cache           responseCache
+	executed        executedRequests
 	counts          Counts
 	traces          traceLog
 }
@@ -211,6 +212,11 @@
 			return
 		}
 	}
+	executed, mayBeExecuted := d.executed.get(d.now, request.Identity)
+	if mayBeExecuted && isRepeatUnsafe(executed.class, executed.firstExecutedAt, d.now) {
+		d.denyAdmission(to, request, Failed, CauseDuplicate)
+		return
+	}
 	if d.draining {
 		d.denyAdmission(to, request, Rejected, CauseShuttingDown)
 		return
@@ -226,6 +232,7 @@
 		startedAt: d.now,
 		deadline:  deadline,
 	}
+	req.possiblyExecuted, req.firstExecutedAt = mayBeExecuted, executed.firstExecutedAt
 	if err := d.resolveFunction(req); err != nil {
 		d.denyAdmission(to, request, Failed, CauseNoVersion)
 		return
--- a/internal/dispatch/open_request.go
+++ b/internal/dispatch/open_request.go
@@ -163,10 +163,10 @@
 	}
 	if cached := d.cache.get(req.request.Identity); cached != nil {
 		req.possiblyExecuted, req.firstExecutedAt = cached.possiblyExecuted, cached.firstExecutedAt
-		if req.possiblyExecuted && req.class.Semantics == control.IdempotentByKey {
-			// The router does not know about the earlier execution, so the deadline keeps attempts within the window.
-			req.deadline = min(req.deadline, req.firstExecutedAt+req.class.DeduplicationWindow)
-		}
+	}
+	if req.possiblyExecuted && req.class.Semantics == control.IdempotentByKey {
+		// The router does not know about the earlier execution, so the deadline keeps attempts within the window.
+		req.deadline = min(req.deadline, req.firstExecutedAt+req.class.DeduplicationWindow)
 	}
 	d.counts.Accepted++
 	d.traceStep(req, stepAdmitted, "", d.routingSummary(req.routingFunction()))
