--- a/internal/verification/nodesim/client.go
+++ b/internal/verification/nodesim/client.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"streamcleat/internal/dispatch"
 	"streamcleat/internal/proxy"
 	"streamcleat/internal/verification/nodetest"
 )
@@ -144,6 +145,12 @@
 		}
 	default:
 		s.report.Failed++
+		if string(payload[1:]) == dispatch.CauseDuplicate.String() { // without fields
+			s.report.FailedDuplicates++
+			if !s.workers.attempted[r.id] {
+				s.violate("request %016x with %q failed as a duplicate of none", r.id, r.body)
+			}
+		}
 	}
 }
 
--- a/internal/verification/nodesim/simulation.go
+++ b/internal/verification/nodesim/simulation.go
@@ -42,6 +42,8 @@
 	Requests, Succeeded, Rejected, Failed, Cancelled int
 	// RejectedDuplicates counts the requests that were rejected while their ID was open.
 	RejectedDuplicates int
+	// FailedDuplicates counts the requests that failed because an at-most-once request with their ID may have run.
+	FailedDuplicates int
 	// LateReplies counts the replies to attempts that had ended.
 	LateReplies int
 	// Violations describes broken rules, at most 20.
