A worker listed at the address of an earlier one takes its place in the endpoint list

While discovery listed both, the earlier one went on to get requests, which reached its cold successor beside what that got under its own name: its slow start was counted once for each name.

Of several workers at one address, the list now keeps the one that started last or, if no start tells them apart, the one that serves. Later events of the earlier one change nothing. Other beliefs that follow an address were looked at: connections belong to a worker and are drained when its entry changes; replicas, slow start, leases and keys belong to a process (docs/incidents/cold-worker-*.md, keyed-retry-*.md); IDs that ended lately belong to a connection.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -105,8 +105,15 @@
 	return Changed, nil
 }
 
-// apply adds, replaces or removes a worker.
+// apply adds, replaces or removes a worker. Of several that are listed at one address, all but the successor have gone, and what is
+// sent to them would reach it.
 func (d *Discovery) apply(h host) {
+	if slices.ContainsFunc(d.hosts, func(listed host) bool { return listed.succeeds(h) }) {
+		h.State = stateRemoved
+	}
+	if h.State != stateRemoved {
+		d.hosts = slices.DeleteFunc(d.hosts, h.succeeds)
+	}
 	i := slices.IndexFunc(d.hosts, func(listed host) bool { return listed.Name == h.Name })
 	switch {
 	case i < 0 && h.State != stateRemoved:
@@ -118,6 +125,15 @@
 	}
 }
 
+// succeeds reports whether h took the address of another worker: it started later or, if the service states the same time for both, it
+// serves.
+func (h *host) succeeds(other host) bool {
+	if h.Name == other.Name || h.Address != other.Address {
+		return false
+	}
+	return h.StartedAtMs > other.StartedAtMs || h.StartedAtMs == other.StartedAtMs && h.State == stateServing && other.State != stateServing
+}
+
 // EndpointList returns the current list, given the time on the caller's clock and the wall-clock time in Unix seconds.
 // A start time is converted to the caller's clock when it is first listed and does not change afterwards.
 func (d *Discovery) EndpointList(now, wall units.Seconds) *upstream.EndpointList {
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -79,6 +79,40 @@
 	}
 }
 
+// Guards against a worker that has gone and whose successor, already listed at its address, gets what is meant for it.
+func TestReadLine_SuccessorTakesAddress(t *testing.T) {
+	const address = "10.0.0.1:9"
+	a := func(state string) string { return hostJSON("a", address, state, 0) }
+	b := hostJSON("b", address, "active", 5000)
+	for name, c := range map[string]struct {
+		lines [][]byte
+		list  string // names with states
+	}{
+		"listed before the end of the other": {[][]byte{snapshotLine(1, a("active")), deltaLine(2, b)}, "b0"},
+		"then the other ends":                {[][]byte{snapshotLine(1, a("active")), deltaLine(2, b), deltaLine(3, a("left"))}, "b0"},
+		"then the other drains":              {[][]byte{snapshotLine(1, a("active")), deltaLine(2, b), deltaLine(3, a("leaving"))}, "b0"},
+		"both in one list":                   {[][]byte{snapshotLine(1, a("active"), b)}, "b0"},
+		"both in one list, in reverse":       {[][]byte{snapshotLine(1, b, a("active"))}, "b0"},
+		"the other drains":                   {[][]byte{snapshotLine(1, a("leaving")), deltaLine(2, hostJSON("b", address, "active", 0))}, "b0"},
+		"the other moved before":             {[][]byte{snapshotLine(1, a("active")), deltaLine(2, hostJSON("a", "10.0.0.2:9", "active", 0), b)}, "a0 b0"},
+		"no start is stated for either":      {[][]byte{snapshotLine(1, a("active")), deltaLine(2, hostJSON("b", address, "active", 0))}, "a0 b0"},
+	} {
+		discovery := NewDiscovery()
+		for _, line := range c.lines {
+			if _, err := discovery.ReadLine(line); err != nil {
+				t.Fatal(name, err)
+			}
+		}
+		var names []string
+		for _, worker := range discovery.EndpointList(0, 0).Workers {
+			names = append(names, fmt.Sprintf("%s%d", worker.ID, worker.State))
+		}
+		if got := strings.Join(names, " "); got != c.list {
+			t.Errorf("%s: list %s, want %s", name, got, c.list)
+		}
+	}
+}
+
 func FuzzReadLine(f *testing.F) {
 	f.Add(snapshotLine(1, hostJSON("a", "10.0.0.1:9", "active", 5000)))
 	f.Add([]byte("17"))
