A client that pipelines twice the limit behind an open request is not read any further

The class is memory that grows with what one client sends.

The request that finds twice MaxPipelined before it is rejected with Connection: close, and the connection ends after that response. TestPipeline_IsBounded failed before.

--- a/internal/downstream/cloudevents/session.go
+++ b/internal/downstream/cloudevents/session.go
@@ -48,6 +48,9 @@
 // continueResponse tells the client to send the body of a request with Expect: 100-continue.
 const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
+// maxWaitingFactor is the number of requests on a connection, as a multiple of MaxPipelined, after which no more are read.
+const maxWaitingFactor = 2
+
 // maxRetainedOutput is the maximum capacity in bytes of an output buffer that is reused for later responses.
 const maxRetainedOutput = 1 << 16
 
@@ -118,9 +121,8 @@
 func (s *Session) onRequest(now units.Seconds, wallTime time.Time, m *http1.Message) {
 	waiting := len(s.pending)
 	pending := s.addPending()
-	pending.closeAfter = m.Close
-	if m.Close {
-		s.readClosed = true
+	if m.Close || waiting >= maxWaitingFactor*s.limits.MaxPipelined {
+		pending.closeAfter, s.readClosed = true, true
 	}
 	path, _, _ := strings.Cut(m.Target, "?")
 	switch {
--- a/internal/downstream/cloudevents/session_test.go
+++ b/internal/downstream/cloudevents/session_test.go
@@ -223,6 +223,24 @@
 	}
 }
 
+// Guards against memory that grows with the requests that a client pipelines behind an open one.
+func TestPipeline_IsBounded(t *testing.T) {
+	handler := newFakeHandler()
+	for i := range 1000 {
+		handler.feed(event(strconv.Itoa(i), "", ""))
+	}
+	if n := len(handler.session.pending); n > maxWaitingFactor*4+1 {
+		t.Fatalf("%d requests of one connection wait", n)
+	}
+	var out string
+	for i := range 4 {
+		out = handler.respond(uint64(i+1), numberedResponse(i))
+	}
+	if strings.Count(out, "429 ") != maxWaitingFactor*4+1-4 || strings.Count(out, "Connection: close") != 1 || !handler.session.Done() {
+		t.Fatalf("output %q", out)
+	}
+}
+
 // HTTP/1.1 responses are sent in order, so an event is held back while its response could miss its deadline behind another.
 func TestPipeline_HoldsBackEventBehindLaterDeadline(t *testing.T) {
 	handler := newFakeHandler()
