Timers of requests that were cancelled are removed when there are many of them

The queue is rebuilt without the timers that would do nothing once it has 1,024 more than twice the open requests, attempts and load commands. The order of the others stays.

--- a/control/router.go
+++ b/control/router.go
@@ -117,6 +117,12 @@
 	r.applyRules()
 }
 
+// AwaitsTimer reports whether a timer that was set with Host.SetTimer may have an effect when it expires.
+func (r *Router) AwaitsTimer(timer uint64) bool {
+	isRequestTimer := timer > pollTimer && timer != confirmationResponseTimer
+	return !isRequestTimer || r.requestsByTimerID[timer] != nil
+}
+
 // tick performs the periodic updates.
 func (r *Router) tick() {
 	elapsed := max(r.now-r.lastTickAt, tickSeconds/2)
--- a/internal/dispatch/memory_test.go
+++ b/internal/dispatch/memory_test.go
@@ -75,3 +75,24 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// Guards against memory that grows with the requests that clients cancelled, until their timeouts.
+func TestDispatcher_CancelledRequestsLeaveNoTimers(t *testing.T) {
+	h := newHarness(t, func(s *Settings) { s.DeduplicationWindow, s.CancelAbandoned = 0, true })
+	h.unsent = true
+	h.submit(1, classIdempotent, "open", 3)
+	for i := range 20_000 {
+		waiter := WaiterID(i + 2)
+		h.submit(waiter, classIdempotent, strconv.Itoa(i), 3)
+		h.dispatcher.OnCancel(h.now, waiter)
+	}
+	if n := h.dispatcher.Counts().Timers; n > 2*obsoleteTimers {
+		t.Errorf("%d timers after 20000 cancelled requests", n)
+	}
+	h.unsent = false
+	h.completeLoads()
+	h.advanceTo(h.now + 4)
+	if got := h.responses[1]; len(got) != 1 {
+		t.Errorf("the open request got %d responses", len(got))
+	}
+}
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"streamcleat/control"
 	"streamcleat/internal/units"
@@ -29,8 +30,12 @@
 	request  *openRequest
 }
 
-// timerQueue is a heap of timers, the earliest first. Timers are never disarmed: a timer whose attempt, load command or
-// waiter has ended does nothing when it fires.
+// obsoleteTimers is the number of obsolete timers that the queue may hold beside as many timers as there are open requests, attempts
+// and load commands.
+const obsoleteTimers = 1024
+
+// timerQueue is a heap of timers, the earliest first. Timers are not disarmed one by one: a timer whose request, attempt, load command
+// or waiter has ended does nothing when it fires, and is removed with others when there are many.
 type timerQueue []timer
 
 // Len implements heap.Interface.
@@ -61,6 +66,9 @@
 
 // armTimer adds a timer that is due in the given number of seconds.
 func (d *Dispatcher) armTimer(after units.Seconds, kind timerKind, key uint64, req *openRequest) {
+	if used := len(d.requests) + len(d.requestByWaiter) + len(d.inFlight) + len(d.pendingLoads); len(d.timers) > 2*used+obsoleteTimers {
+		d.removeObsoleteTimers()
+	}
 	d.timerSequence++
 	heap.Push(&d.timers, timer{
 		at:       d.now + max(after, 0),
@@ -71,6 +79,27 @@
 	})
 }
 
+// removeObsoleteTimers removes the timers that would do nothing. The order of the others is the same.
+func (d *Dispatcher) removeObsoleteTimers() {
+	d.timers = slices.DeleteFunc(d.timers, func(t timer) bool { return !d.isUsed(t) })
+	heap.Init(&d.timers)
+}
+
+// isUsed reports whether a timer does something when it fires.
+func (d *Dispatcher) isUsed(t timer) bool {
+	switch t.kind {
+	case routerTimer:
+		return d.router.AwaitsTimer(t.key)
+	case waiterDeadline:
+		return d.requestByWaiter[WaiterID(t.key)] == t.request
+	case attemptDeadline:
+		return d.inFlight[t.key] != nil
+	case loadDeadline:
+		return d.pendingLoads[t.key] != nil
+	}
+	return true
+}
+
 // fireTimer runs the action of a timer that is due.
 func (d *Dispatcher) fireTimer(t timer) {
 	switch t.kind {
