--- a/cmd/streamcleat/soak_test.go
+++ b/cmd/streamcleat/soak_test.go
@@ -62,3 +62,28 @@
 		})
 	}
 }
+
+// Tests that the rules hold, and that front ends stay within their memory limit, while clients flood them, crowds of connections write
+// slowly, and SIGHUP and SIGTERM come in series, beside the usual faults.
+func TestSoak_Floods(t *testing.T) {
+	exclusive.Acquire(t)
+	program, err := exec.LookPath("streamcleat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, seed := range []uint64{700, 704} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			result, _, err := soak.Run(context.Background(), soak.Settings{
+				Program: program, Seed: seed, FrontEnds: 4, Workers: 10, Duration: 15 * time.Second, Floods: true, LoadQuota: true, Log: t.Logf,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(result)
+			if result.Broken() || result.Flooded.Requests < 100 {
+				t.Error("a rule was violated, or fewer than 100 requests were sent beside floods")
+			}
+		})
+	}
+}
--- a/internal/verification/soak/faults.go
+++ b/internal/verification/soak/faults.go
@@ -35,6 +35,7 @@
 var floodFaults = []fault{
 	{"flood", (*harness).floodFrontEnd},
 	{"crowd", (*harness).crowdFrontEnd},
+	{"signals-in-series", (*harness).signalInSeries},
 }
 
 const (
--- a/internal/verification/soak/faults_front_end.go
+++ b/internal/verification/soak/faults_front_end.go
@@ -69,6 +69,23 @@
 	})
 }
 
+// signalInSeries sends SIGHUP and SIGTERM in turn, the first SIGTERM of which begins the shutdown.
+func (h *harness) signalInSeries(random *rand.Rand) {
+	forEachClaimed(h.claim(random, 2), func(f *frontEnd) {
+		f.checkAlive()
+		f.reload()
+		for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+			time.AfterFunc(time.Duration(rand.Int64N(int64(maxSignalDelay))), func() { f.signal(sig) })
+		}
+		f.terminate()
+		time.Sleep(maxSignalDelay) // a later signal would reach the next process
+		h.startNextProcess(f)
+	})
+}
+
+// maxSignalDelay is the maximum delay of the signals of a series after the first SIGTERM.
+const maxSignalDelay = 300 * time.Millisecond
+
 // lastEventDelay gives a front end time to read the last events of the old address before SIGHUP makes it switch to the new
 // one. The harness cannot observe whether an event that arrives together with the signal was read.
 const lastEventDelay = 20 * time.Millisecond
