Connections beyond the limit wait or are answered, in place of being closed unread

The class is a connection that is taken although there is no room for it.

The listener now leaves connections in the kernel's queue while the limit is reached and none can be evicted, and looks again every 5 ms; the time that they wait counts in the age of their requests. As in the appliance, a front end of the platform takes eight connections beyond the limit, whose requests are rejected.

--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -20,6 +20,8 @@
 	// After accept fails for lack of a local resource, the delay before the next accept doubles between these bounds.
 	initialAcceptBackoff = 10 * time.Millisecond
 	maxAcceptBackoff     = 500 * time.Millisecond
+	// roomDelay is the delay before the next accept while the limit of client connections is reached.
+	roomDelay = 5 * time.Millisecond
 	// addressInUseTimeout is the maximum time that Start waits for an address that is in use.
 	addressInUseTimeout = time.Second
 	// startTimeout is the maximum time that Start retries to open a socket while the machine lacks a resource.
@@ -109,6 +111,10 @@
 		if l.registration == nil {
 			return true // closed while an accepted connection was handled
 		}
+		if !l.server.proxy.HasRoom() {
+			l.waitForRoom()
+			return false
+		}
 		fd, peer, err := l.server.kernel.Accept(l.fd)
 		if err == nil {
 			l.backoff = 0
@@ -129,6 +135,21 @@
 	return false
 }
 
+// waitForRoom stops accepting for roomDelay, while no client connection can make room for another one.
+func (l *listener) waitForRoom() {
+	s := l.server
+	s.counters.acceptsDelayed.Add(1)
+	s.reactor.poller.setInterest(l.registration, 0)
+	s.reactor.timers.after(roomDelay, l.resumeAccepting)
+}
+
+// resumeAccepting accepts connections again.
+func (l *listener) resumeAccepting() {
+	if l.registration != nil {
+		l.server.reactor.poller.setInterest(l.registration, readEvents)
+	}
+}
+
 // pauseAccepting stops accepting for the backoff delay, so that resources can become available again; connections stay in
 // the accept queue meanwhile. It evicts an idle client if the settings allow that.
 func (l *listener) pauseAccepting(err error) {
@@ -139,11 +160,7 @@
 	s.log.Warn("accept paused", "address", s.settings.Listen, "error", err,
 		"seconds", l.backoff.Seconds(), "evicted", evicted)
 	s.reactor.poller.setInterest(l.registration, 0)
-	s.reactor.timers.after(l.backoff, func() {
-		if l.registration != nil {
-			s.reactor.poller.setInterest(l.registration, readEvents)
-		}
-	})
+	s.reactor.timers.after(l.backoff, l.resumeAccepting)
 }
 
 // close stops listening. Connections that have not been accepted are reset.
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -47,6 +47,10 @@
 	millisecondsPerSecond = 1000
 )
 
+// overflowClients is the number of connections beyond the limit whose requests are rejected. Their descriptors are among the reserved
+// ones.
+const overflowClients = 8
+
 // Limits of a client connection. Times are in seconds.
 const (
 	maxRequestsPerConnection = 32
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,6 +118,7 @@
 		Name:             document.Name,
 		MaxClients:       clients,
 		EvictIdleClients: true,
+		OverflowClients:  overflowClients,
 		Log:              n.log,
 		Dispatch: dispatch.Settings{
 			Deployment:      deployment,
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -60,7 +60,7 @@
 		"failed", counts.Failed, "cancelled", counts.Cancelled, "attempts", counts.Attempts, "timed_out", counts.TimedOut,
 		"sends_denied", counts.SendsDenied, "closes", closes, "closed_unanswered", unanswered, "accept_failures", recovered.AcceptFailures,
 		"aborted_connections", recovered.AbortedConnections, "registration_failures", recovered.RegistrationFailures,
-		"dial_retries", recovered.DialRetries, "write_retries", recovered.WriteRetries, "dropped_datagrams", recovered.DroppedDatagrams, "slow_iterations", recovered.SlowIterations, "error", err)
+		"dial_retries", recovered.DialRetries, "write_retries", recovered.WriteRetries, "accepts_delayed", recovered.AcceptsDelayed, "dropped_datagrams", recovered.DroppedDatagrams, "slow_iterations", recovered.SlowIterations, "error", err)
 }
 
 // maxRequestTimeout returns the longest timeout of a request class in seconds.
--- a/internal/proxy/eviction_test.go
+++ b/internal/proxy/eviction_test.go
@@ -88,3 +88,30 @@
 		}
 	}
 }
+
+// Guards against connections that are accepted only to be closed, which loses the requests that were already sent on them.
+func TestHasRoom_OnlyIfAConnectionCanBeAccepted(t *testing.T) {
+	for name, c := range map[string]struct {
+		first             []string // what each connection sends at once
+		maxClients, extra int
+		want              bool
+	}{
+		"below the limit":        {[]string{"r"}, 2, 0, true},
+		"one can be evicted":     {[]string{"r", "rc"}, 2, 0, true},
+		"all have open requests": {[]string{"r", "r"}, 2, 0, false},
+		"beyond the limit":       {[]string{"r", "r"}, 2, 1, true},
+		"all beyond are taken":   {[]string{"r", "r", ""}, 2, 1, false},
+	} {
+		p, _, _ := newReadAheadProxy(10)
+		p.settings.EvictIdleClients, p.settings.MaxClients, p.settings.OverflowClients = true, c.maxClients, c.extra
+		for _, input := range c.first {
+			p.OnClientData(p.Accept(&inputConn{}), []byte(input))
+		}
+		if got := p.HasRoom(); got != c.want {
+			t.Errorf("%s: has room: %v", name, got)
+		}
+		if accepted := p.Accept(&inputConn{}) != nil; accepted != c.want {
+			t.Errorf("%s: accepted: %v", name, accepted)
+		}
+	}
+}
--- a/internal/proxy/overflow.go
+++ b/internal/proxy/overflow.go
@@ -21,6 +21,19 @@
 	return len(p.clients)-p.overflow >= p.settings.MaxClients && !p.EvictIdleClient()
 }
 
+// HasRoom reports whether a new client connection can be accepted: the limit is not reached, or another connection may be evicted. If it
+// can't, it is better left waiting, since closing it would lose the requests that were already sent on it.
+func (p *Proxy) HasRoom() bool {
+	if p.draining || len(p.clients)-p.overflow < p.settings.MaxClients || p.overflow < p.settings.OverflowClients {
+		return true
+	}
+	if !p.settings.EvictIdleClients {
+		return false
+	}
+	candidate, _ := p.evictionCandidate()
+	return candidate != nil
+}
+
 // rejectRequest rejects a request on an overflow connection and closes the connection after the response.
 func (p *Proxy) rejectRequest(client *Client, slot uint64, request *dispatch.Request) {
 	client.session.Respond(p.host.Now(), slot, dispatch.Response{
