A connection beyond the limit is read before it is closed as overdue

Related path of the connections that were closed as idle unread: one beyond the limit that sent no request for a second was closed without a look at what lay unread, such as a request that a busy front end had not read yet. TestSweep_ReadsBeforeItClosesOverflow failed before.

--- a/internal/proxy/overflow.go
+++ b/internal/proxy/overflow.go
@@ -46,9 +46,12 @@
 
 // closeOverdueOverflow closes an overflow connection whose client has not sent its request in time, and reports whether it did.
 func (p *Proxy) closeOverdueOverflow(client *Client, now units.Seconds) bool {
-	isOverdue := client.overflowSince > 0 && client.writeClosedAt == 0 && now-client.overflowSince > overflowTimeout
-	if isOverdue {
-		p.closeClient(client, RejectedFull)
+	if client.overflowSince == 0 || client.writeClosedAt > 0 || now-client.overflowSince <= overflowTimeout {
+		return false
+	}
+	if isRead := p.readAhead(client); !isRead || client.closed || client.closeAfterLastResponse {
+		return client.closed
 	}
-	return isOverdue
+	p.closeClient(client, RejectedFull)
+	return true
 }
--- a/internal/proxy/read_ahead_test.go
+++ b/internal/proxy/read_ahead_test.go
@@ -202,3 +202,25 @@
 		}
 	}
 }
+
+// Guards against a connection beyond the limit that is closed with a request on it that was not read.
+func TestSweep_ReadsBeforeItClosesOverflow(t *testing.T) {
+	for name, c := range map[string]struct {
+		conn          *inputConn
+		closed, ended bool
+	}{
+		"silent":              {&inputConn{}, true, false},
+		"a request is unread": {&inputConn{input: [][]byte{{requestLetter}}}, false, true},
+	} {
+		p, host, _ := newReadAheadProxy(10)
+		p.settings.MaxClients, p.settings.OverflowClients = 0, 1
+		if p.Accept(c.conn) == nil {
+			t.Fatal("not accepted beyond the limit")
+		}
+		host.now += overflowTimeout + 1
+		p.Sweep()
+		if c.conn.closed != c.closed || c.conn.ended != c.ended {
+			t.Errorf("%s: closed %v, our side closed after the response %v, want %v, %v", name, c.conn.closed, c.conn.ended, c.closed, c.ended)
+		}
+	}
+}
