Our side is closed with the decision to close it, and closes are logged

The close now follows the decision at once, after the input was read to the end. Evictions and closes of our side are logged at info: at debug, the default log did not show them.

--- a/internal/proxy/close_reason.go
+++ b/internal/proxy/close_reason.go
@@ -64,6 +64,8 @@
 		level = slog.LevelError
 	case open > 0 || reason == CloseUnreadResponses || reason == RejectedFull:
 		level = slog.LevelWarn
+	case reason == CloseEvicted || reason == EndedBySession || reason == EndedByShutdown:
+		level = slog.LevelInfo
 	}
 	p.log.Log(context.Background(), level, "client connection closed", "client", client, "cause", reason.String(), "open", open)
 }
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -236,7 +236,10 @@
 	if client.session.TimedOut(now) && (!p.readAhead(client) || client.closed) {
 		return
 	}
-	if client.session.Tick(now) || client.closeAfterLastResponse {
+	hasOutput := client.session.Tick(now)
+	if client.session.Done() {
+		p.send(client) // at once: what arrives from now on is not read any more
+	} else if hasOutput || client.closeAfterLastResponse {
 		p.scheduleSend(client)
 	}
 }
