--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -27,6 +27,7 @@
 	overflowSince          units.Seconds // time at which it was accepted beyond MaxClients; 0: within the limit
 	closed                 bool
 	acceptedAt             units.Seconds
+	timeoutDue             bool // a timeout of the session has passed, see applyTimeout
 	load                   clientLoad
 	readAheadIn            uint64 // the flush in which the client was last read ahead of the event loop
 	readAheadBytes         int    // number of bytes that were read ahead in it
@@ -226,21 +227,23 @@
 			p.closeClient(client, CloseLingerTimeout)
 			continue
 		}
-		p.applyTimeouts(client, now)
+		if client.timeoutDue = client.session.TimedOut(now); client.timeoutDue {
+			p.scheduleSend(client)
+		} else if client.session.Tick(now) || client.closeAfterLastResponse {
+			p.scheduleSend(client)
+		}
 	}
 }
 
-// applyTimeouts enforces the timeouts of a session, once all that its client has sent is read: the event loop may have been held up for
-// longer than a timeout.
-func (p *Proxy) applyTimeouts(client *Client, now units.Seconds) {
-	if client.session.TimedOut(now) && (!p.readAhead(client) || client.closed) {
+// applyTimeout enforces a timeout of a session that has passed, just before its output is sent, once all that its client has sent is
+// read: the event loop may have been held up for longer than the timeout.
+func (p *Proxy) applyTimeout(client *Client) {
+	if !client.timeoutDue || client.closed {
 		return
 	}
-	hasOutput := client.session.Tick(now)
-	if client.session.Done() {
-		p.send(client) // at once: what arrives from now on is not read any more
-	} else if hasOutput || client.closeAfterLastResponse {
-		p.scheduleSend(client)
+	client.timeoutDue = false
+	if p.readAhead(client) && !client.closed {
+		client.session.Tick(p.host.Now())
 	}
 }
 
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -112,6 +112,7 @@
 	p.clientsToSend = nil
 	for _, client := range clients {
 		client.sendScheduled = false
+		p.applyTimeout(client)
 		client.session.Advance(p.host.Now())
 		p.send(client)
 	}
