--- a/control/function.go
+++ b/control/function.go
@@ -108,12 +108,12 @@
 	r.queueIfUnused(req.function)
 }
 
+// isInUse reports whether a request for fn is open or has an attempt in flight, or a load of it is pending.
+func (fn *function) isInUse() bool { return fn.openRequests > 0 || fn.pendingLoadOn != nil }
+
 // isUnused reports whether nothing is open for fn and no replica of it is believed to be loaded.
 func (r *Router) isUnused(fn *function) bool {
-	if fn.openRequests > 0 || fn.inFlight > 0 || fn.pendingLoadOn != nil {
-		return false
-	}
-	return !slices.ContainsFunc(fn.replicas, func(rep replica) bool { return r.isWarm(&rep) })
+	return !fn.isInUse() && !slices.ContainsFunc(fn.replicas, func(rep replica) bool { return r.isWarm(&rep) })
 }
 
 // queueIfUnused queues an unused function for removal, and removes the functions beyond maxUnusedFunctions that were queued first and
@@ -160,11 +160,10 @@
 	return functions
 }
 
-// removeIdleFunctions removes the functions that have had no request for idleTime and have neither an attempt nor a
-// load in progress, and queues those that are unused.
+// removeIdleFunctions removes the functions that have had no request for idleTime and are not in use, and queues those that are unused.
 func (r *Router) removeIdleFunctions(idleTime units.Seconds) {
 	for _, fn := range r.functions {
-		if fn.pendingLoadOn == nil && fn.inFlight == 0 && r.now-fn.lastRequestAt > idleTime {
+		if !fn.isInUse() && r.now-fn.lastRequestAt > idleTime {
 			r.removeFunction(fn)
 		}
 		r.queueIfUnused(fn)
--- a/control/input_cost_test.go
+++ b/control/input_cost_test.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// costWorkers is the number of workers of the router whose cost is measured.
+	// costWorkers is the number of workers of the router.
 	costWorkers = 16
-	// costBatch is the number of inputs of one measurement, and costRounds the number of measurements.
+	// costBatch is the number of inputs in a batch, and costRounds the number of batches.
 	costBatch  = 2000
 	costRounds = 7
 	// maxCostRatio is the limit of the cost of an input after many requests, relative to the cost after few.
--- a/internal/dispatch/memory_test.go
+++ b/internal/dispatch/memory_test.go
@@ -86,7 +86,7 @@
 		h.submit(waiter, classIdempotent, strconv.Itoa(i), 3)
 		h.dispatcher.OnCancel(h.now, waiter)
 	}
-	if n := h.dispatcher.Counts().Timers; n > 2*obsoleteTimers {
+	if n := h.dispatcher.Counts().Timers; n > 2*maxObsoleteTimers {
 		t.Errorf("%d timers after 20000 cancelled requests", n)
 	}
 	h.unsent = false
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -30,9 +30,9 @@
 	request  *openRequest
 }
 
-// obsoleteTimers is the number of obsolete timers that the queue may hold beside as many timers as there are open requests, attempts
+// maxObsoleteTimers is the maximum number of obsolete timers that the queue holds beside as many timers as there are open requests, attempts
 // and load commands.
-const obsoleteTimers = 1024
+const maxObsoleteTimers = 1024
 
 // timerQueue is a heap of timers, the earliest first. Timers are not disarmed one by one: a timer whose request, attempt, load command
 // or waiter has ended does nothing when it fires, and is removed with others when there are many.
@@ -66,7 +66,7 @@
 
 // armTimer adds a timer that is due in the given number of seconds.
 func (d *Dispatcher) armTimer(after units.Seconds, kind timerKind, key uint64, req *openRequest) {
-	if used := len(d.requests) + len(d.requestByWaiter) + len(d.inFlight) + len(d.pendingLoads); len(d.timers) > 2*used+obsoleteTimers {
+	if used := len(d.requests) + len(d.requestByWaiter) + len(d.inFlight) + len(d.pendingLoads); len(d.timers) > 2*used+maxObsoleteTimers {
 		d.removeObsoleteTimers()
 	}
 	d.timerSequence++
--- a/internal/downstream/frames/session.go
+++ b/internal/downstream/frames/session.go
@@ -32,13 +32,13 @@
 	limits        *Limits
 	framer        framer
 	handler       downstream.RequestHandler
-	openStreams   map[uint32]bool // streams with an open request
-	received      []receivedRequest
-	lastStream    uint32        // highest stream number used; stream numbers are not reused
-	frameStart    units.Seconds // when the first byte of the incomplete frame was received
-	lastActivity  units.Seconds // time of the last complete frame or response
-	frameReceived bool          // a complete frame was received
-	readClosed    bool          // no more input is read
+	openStreams   map[uint32]bool   // streams with an open request
+	received      []receivedRequest // requests that are passed on at the end of Feed
+	lastStream    uint32            // highest stream number used; stream numbers are not reused
+	frameStart    units.Seconds     // when the first byte of the incomplete frame was received
+	lastActivity  units.Seconds     // time of the last complete frame or response
+	frameReceived bool              // a complete frame was received
+	readClosed    bool              // no more input is read
 	goAwaySent    bool
 	disconnected  bool
 	output        []byte
--- a/internal/eventloop/poller_test.go
+++ b/internal/eventloop/poller_test.go
@@ -1,10 +1,13 @@
 package eventloop
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"streamcleat/internal/syscalls"
 )
 
 // countingHandler counts its events.
@@ -107,3 +110,33 @@
 		}
 	}
 }
+
+// interruptedKernel is a kernel whose waits fail as interrupted until the last one, which stops the loop.
+type interruptedKernel struct {
+	syscalls.Kernel
+	waits int
+	last  func()
+}
+
+func (k *interruptedKernel) EpollWait(int, []unix.EpollEvent, int) (int, error) {
+	if k.waits--; k.waits > 0 {
+		return -1, unix.EINTR
+	}
+	k.last()
+	return 0, nil
+}
+
+// Guards against input that was left unread and counts as new because an interrupted wait did not report it.
+func TestRun_InterruptedWaitIsNoCompletePoll(t *testing.T) {
+	kernel := &interruptedKernel{Kernel: syscalls.Linux{}, waits: 3}
+	r, err := newReactor(kernel, slog.New(slog.DiscardHandler), &counters{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.poller.close)
+	r.timers.onTick, r.timers.onSweep = func() {}, func() {}
+	kernel.last = r.stop
+	if err := r.run(); err != nil || r.completePolls != 1 {
+		t.Errorf("%d complete polls after two interrupted waits and one that was not, %v", r.completePolls, err)
+	}
+}
--- a/internal/eventloop/reactor.go
+++ b/internal/eventloop/reactor.go
@@ -76,9 +76,7 @@
 		if err == nil { // an interrupted wait has not checked the sockets, so it counts as still in progress
 			r.inputAge.observeWait(entered, time.Now())
 			entered = time.Time{}
-		}
-		if n < len(events) {
-			r.completePolls++
+			r.countPoll(n, len(events))
 		}
 		r.tasks.endWait()
 		remaining = r.iterate(events[:max(n, 0)])
@@ -86,6 +84,13 @@
 	return nil
 }
 
+// countPoll counts a wait that reported a number of descriptors and could have reported up to a limit.
+func (r *reactor) countPoll(reported, limit int) {
+	if reported < limit {
+		r.completePolls++
+	}
+}
+
 // iterate handles the events, then the tasks that are queued, then the timers that are due. Tasks that are posted while
 // tasks run wait for the next iteration, so that they cannot starve the sockets. It returns the events that remain when
 // socketBudget has passed.
--- a/internal/proxy/downstream.go
+++ b/internal/proxy/downstream.go
@@ -10,7 +10,7 @@
 const (
 	lingerTimeout     = 1.0     // seconds that a client has, after our side was closed, to read responses and close its side
 	maxDiscardedBytes = 1 << 20 // maximum number of bytes that a client may send after our side was closed
-	// maxReadAheadBytes is the number of bytes of a client that are read ahead of the event loop in one flush.
+	// maxReadAheadBytes is the number of bytes of a client that are read ahead of the event loop in one flush, or before it.
 	maxReadAheadBytes = 16 << 10
 )
 
@@ -29,7 +29,7 @@
 	acceptedAt             units.Seconds
 	timeoutDue             bool // a timeout of the session has passed, see applyTimeout
 	load                   clientLoad
-	readAheadIn            uint64 // the flush in which the client was last read ahead of the event loop
+	readAheadIn            uint64 // the period in which the client was last read ahead of the event loop
 	readAheadBytes         int    // number of bytes that were read ahead in it
 }
 
@@ -123,10 +123,10 @@
 }
 
 // readAhead processes bytes that the client sent and that the host has not passed on yet, and reports whether none are left. It ends
-// when maxReadAheadBytes have been read since the start of the flush.
+// when maxReadAheadBytes have been read in the present period.
 func (p *Proxy) readAhead(client *Client) (complete bool) {
-	if client.readAheadIn != p.flushes {
-		client.readAheadIn, client.readAheadBytes = p.flushes, 0
+	if client.readAheadIn != p.readAheadPeriod {
+		client.readAheadIn, client.readAheadBytes = p.readAheadPeriod, 0
 	}
 	for !client.closed {
 		if client.readAheadBytes >= maxReadAheadBytes {
--- a/internal/proxy/eviction_test.go
+++ b/internal/proxy/eviction_test.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// Guards against new clients that are turned away, and served ones that lose their connection, while connections with unfinished first
+// Guards against new clients that are rejected, and served ones that lose their connection, while connections with unfinished first
 // messages fill the limit.
 func TestEvictIdleClient_PrefersUnfinishedFirstMessages(t *testing.T) {
 	endless := &inputConn{endless: []byte{paddingLetter}}
--- a/internal/proxy/flush.go
+++ b/internal/proxy/flush.go
@@ -13,7 +13,7 @@
 		return
 	}
 	p.flushing = true
-	p.flushes++
+	p.readAheadPeriod++
 	for p.pendingWork() > 0 || p.pool.Pending() {
 		p.flushUpstream()
 		p.pool.Flush()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -73,7 +73,7 @@
 
 	// Work for Flush.
 	flushing           bool
-	flushes            uint64 // number of flushes so far, including the one in progress
+	readAheadPeriod    uint64 // changes when each client may be read ahead by maxReadAheadBytes again
 	upstreamOperations []upstreamOperation
 	permittedAt        units.Seconds   // of the message that is being encoded, see recordPermitTime; 0: it needs no permit
 	inputReadAt        units.Seconds   // when the clients of the attempts that are being sent began to be read; 0: they were not
--- a/internal/proxy/read_ahead_test.go
+++ b/internal/proxy/read_ahead_test.go
@@ -167,8 +167,8 @@
 		if pool.sent != c.sent {
 			t.Errorf("%s: %d attempts sent, want %d", name, pool.sent, c.sent)
 		}
-		if most := c.turns * (maxReadAheadBytes + 1); c.conn.reads > most {
-			t.Errorf("%s: %d reads in %d turns", name, c.conn.reads, c.turns)
+		if size := len(c.conn.endless); size > 0 && c.conn.reads > c.turns*(maxReadAheadBytes/size+1) {
+			t.Errorf("%s: %d reads of %d bytes in %d turns", name, c.conn.reads, size, c.turns)
 		}
 	}
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -124,6 +124,7 @@
 	if err == nil {
 		p.upstreamConns[id] = conn
 		p.inputReadAt = p.host.Now()
+		p.readAheadPeriod++
 		for _, attempt := range p.pool.WaitingFor(id) {
 			if !p.readClientOf(attempt) && p.pool.CancelUnsent(attempt) {
 				p.dispatcher.OnAttemptReply(p.host.Now(), attempt, dispatch.WorkerReply{Outcome: control.NotSent})
